--- /dev/null
+++ b/src/coordination/lifecycle.rs
@@ -0,0 +1,89 @@
+//! The life cycle of an instance as a typestate: starting, serving, leaving, stopped.
+
+use std::time::Duration;
+
+use crate::state::time::Tick;
+
+/// It has no configuration yet and is not ready.
+#[derive(Debug)]
+pub struct Starting(());
+/// It is ready.
+#[derive(Debug)]
+pub struct Serving(());
+/// It has told the balancer and its peers; work under way goes on.
+#[derive(Debug)]
+pub struct Leaving {
+    since: Tick,
+}
+/// Nothing is under way; the process may exit.
+#[derive(Debug)]
+pub struct Stopped(());
+
+/// An instance in life cycle state `S`.
+#[derive(Debug)]
+pub struct Instance<S>(S);
+
+/// What an instance that is leaving still has under way.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UnderWay {
+    /// Requests of callers.
+    pub flights: usize,
+    /// Requests at upstreams, its own and those of peers.
+    pub upstream: u32,
+    /// Buckets not yet given back.
+    pub buckets: usize,
+}
+
+/// Times of a planned stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopOptions {
+    /// How long callers are still taken on after the balancer was told.
+    pub notice: Duration,
+    /// Longest time for the whole stop.
+    pub longest: Duration,
+}
+
+impl Default for StopOptions {
+    fn default() -> Self {
+        Self { notice: Duration::from_secs(2), longest: Duration::from_secs(20) }
+    }
+}
+
+impl Default for Instance<Starting> {
+    fn default() -> Self {
+        Instance(Starting(()))
+    }
+}
+
+impl Instance<Starting> {
+    /// Begins to serve, once there is a configuration.
+    pub fn serve(self) -> Instance<Serving> {
+        Instance(Serving(()))
+    }
+}
+
+impl Instance<Serving> {
+    /// Begins to leave.
+    pub fn leave(self, now: Tick) -> Instance<Leaving> {
+        Instance(Leaving { since: now })
+    }
+}
+
+impl Instance<Leaving> {
+    /// Says whether callers are still taken on.
+    pub fn takes(&self, opts: &StopOptions, now: Tick) -> bool {
+        now.since(self.0.since) < opts.notice
+    }
+
+    /// Stops when the notice is over and nothing is under way, or when it has taken too long.
+    pub fn stop(
+        self,
+        opts: &StopOptions,
+        left: UnderWay,
+        now: Tick,
+    ) -> Result<Instance<Stopped>, Self> {
+        let took = now.since(self.0.since);
+        let idle = took >= opts.notice && left == UnderWay::default();
+        if idle || took >= opts.longest { Ok(Instance(Stopped(()))) } else { Err(self) }
+    }
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,19 @@
+//! Decisions: what is sent where, when it is refused, and who may act for an upstream.
+//!
+//! Time and randomness come in as arguments and effects go out as values, so every decision can be
+//! replayed from a seed and used behind another front end.
+
+pub(crate) mod admission;
+pub(crate) mod attempt;
+pub(crate) mod budget;
+pub(crate) mod fanout;
+pub(crate) mod leases;
+pub(crate) mod lifecycle;
+pub(crate) mod once;
+pub(crate) mod outlier;
+pub(crate) mod quantile;
+pub(crate) mod ramp;
+pub(crate) mod replica;
+pub(crate) mod roster_change;
+pub(crate) mod snapshot;
+pub(crate) mod tickets;
--- /dev/null
+++ b/src/coordination/tickets.rs
@@ -0,0 +1,282 @@
+//! The life cycle of a ticket as a typestate: draft, checked, accepted.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::state::findings::Findings;
+use crate::state::fleet::{Bear, Fleet, Policy, Service, Stamped, Upstream};
+use crate::state::named::Named;
+use crate::state::ticket::Ticket;
+
+/// Most bytes of a configuration; the platform holds values up to a megabyte.
+pub const MOST_BYTES: usize = 1_000_000;
+/// Most bytes of a name.
+const MOST_NAME: usize = 64;
+
+/// The head object of the platform: the configuration in force and who put it there.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Head {
+    /// The configuration.
+    pub fleet: Fleet,
+    /// Mark of the submission that was accepted last, for reading back a lost answer.
+    pub token: u64,
+    /// Note of the ticket that was accepted last.
+    pub note: String,
+}
+
+/// A ticket as submitted.
+#[derive(Debug)]
+pub struct Draft(());
+/// A ticket that was checked against a configuration, which it would turn into this one.
+#[derive(Debug)]
+pub struct Checked(Head);
+/// A ticket that is in the platform's head object.
+#[derive(Debug)]
+pub struct Accepted(Head);
+
+/// A ticket in life cycle state `S`.
+#[derive(Debug)]
+pub struct Change<S> {
+    ticket: Ticket,
+    state: S,
+}
+
+impl Change<Draft> {
+    /// Begins with a ticket as submitted.
+    pub fn new(ticket: Ticket) -> Self {
+        Self { ticket, state: Draft(()) }
+    }
+
+    /// Checks the ticket against the configuration in force; all findings are reported together.
+    pub fn check(self, head: &Head, token: u64) -> Result<Change<Checked>, Findings> {
+        let mut findings = Findings::default();
+        check_number(&self.ticket, head, &mut findings);
+        check_races(&self.ticket, &head.fleet, &mut findings);
+        check_names(&self.ticket, &mut findings);
+        let fleet = apply(&self.ticket, &head.fleet);
+        check_fleet(&fleet, &mut findings);
+        let next = Head { fleet, token, note: self.ticket.note.clone() };
+        findings.into_result(Change { ticket: self.ticket, state: Checked(next) })
+    }
+}
+
+impl Change<Checked> {
+    /// Returns the head object to write.
+    pub fn head(&self) -> &Head {
+        &self.state.0
+    }
+
+    /// Settles the ticket as accepted: the write took effect.
+    pub fn accepted(self) -> Change<Accepted> {
+        Change { ticket: self.ticket, state: Accepted(self.state.0) }
+    }
+
+    /// Settles the ticket by the head object read back after a lost answer.
+    pub fn read_back(self, found: &Head) -> Result<Change<Accepted>, Change<Draft>> {
+        if found.token == self.state.0.token {
+            Ok(self.accepted())
+        } else {
+            Err(Change::new(self.ticket))
+        }
+    }
+
+    /// Goes back to a draft: another write came first.
+    pub fn conflict(self) -> Change<Draft> {
+        Change::new(self.ticket)
+    }
+}
+
+impl Change<Accepted> {
+    /// Returns the head object now in force.
+    pub fn head(&self) -> &Head {
+        &self.state.0
+    }
+
+    /// Returns the ticket.
+    pub fn ticket(&self) -> &Ticket {
+        &self.ticket
+    }
+}
+
+/// Says whether `next` may replace `now` in an instance: versions only ever move forward.
+pub fn moves_forward(now: &Fleet, next: &Fleet) -> bool {
+    next.version > now.version
+}
+
+fn check_number(ticket: &Ticket, head: &Head, findings: &mut Findings) {
+    let last = head.fleet.version;
+    if ticket.number <= last {
+        let by =
+            if ticket.number == last { format!(" (\"{}\")", head.note) } else { String::new() };
+        findings.add(
+            "number",
+            format!("ticket {} was already accepted{by}; the next is {}", ticket.number, last + 1),
+        );
+    } else if ticket.number > last + 1 {
+        findings.add("number", format!("the next ticket is {}", last + 1));
+    }
+    findings.require(
+        ticket.base <= last,
+        "base",
+        format!("no such version yet; the last is {last}"),
+    );
+}
+
+fn check_races(ticket: &Ticket, fleet: &Fleet, findings: &mut Findings) {
+    let names = |given: &mut dyn Iterator<Item = &String>, removed: &[String]| -> Vec<String> {
+        given.cloned().chain(removed.iter().cloned()).collect()
+    };
+    let domains = names(&mut ticket.domains.keys(), &ticket.remove.domains);
+    let services = names(&mut ticket.services.keys(), &ticket.remove.services);
+    let upstreams = names(&mut ticket.upstreams.keys(), &ticket.remove.upstreams);
+    races("domains", &domains, &fleet.domains, ticket.base, findings);
+    races("services", &services, &fleet.services, ticket.base, findings);
+    races("upstreams", &upstreams, &fleet.upstreams, ticket.base, findings);
+    missing("domains", &ticket.remove.domains, &fleet.domains, findings);
+    missing("services", &ticket.remove.services, &fleet.services, findings);
+    missing("upstreams", &ticket.remove.upstreams, &fleet.upstreams, findings);
+}
+
+fn races<T>(
+    kind: &str,
+    touched: &[String],
+    known: &Named<Stamped<T>>,
+    base: u64,
+    findings: &mut Findings,
+) {
+    for name in touched {
+        if let Some(by) = known.get(name).map(|s| s.changed).filter(|c| *c > base) {
+            let problem = format!(
+                "changed by ticket {by}, after version {base} that this ticket is based on"
+            );
+            findings.add(format!("{kind}.{name}"), problem);
+        }
+    }
+}
+
+fn missing<T>(kind: &str, removed: &[String], known: &Named<Stamped<T>>, findings: &mut Findings) {
+    for name in removed {
+        findings.require(
+            known.contains_key(name),
+            format!("remove.{kind}"),
+            format!("`{name}` is not there"),
+        );
+    }
+}
+
+fn check_names(ticket: &Ticket, findings: &mut Findings) {
+    let kinds: [(&str, Vec<&String>); 3] = [
+        ("domains", ticket.domains.keys().collect()),
+        ("services", ticket.services.keys().collect()),
+        ("upstreams", ticket.upstreams.keys().collect()),
+    ];
+    let fits = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    for (kind, names) in kinds {
+        for name in names {
+            let ok = !name.is_empty() && name.len() <= MOST_NAME && name.chars().all(fits);
+            let problem = format!("a name has 1 to {MOST_NAME} letters, digits, `-`, `_` or `.`");
+            findings.require(ok, format!("{kind}.{name}"), problem);
+        }
+    }
+}
+
+fn apply(ticket: &Ticket, fleet: &Fleet) -> Fleet {
+    let mut next = fleet.clone();
+    next.version = ticket.number;
+    put(&mut next.domains, &ticket.domains, &ticket.remove.domains, ticket.number);
+    put(&mut next.services, &ticket.services, &ticket.remove.services, ticket.number);
+    put(&mut next.upstreams, &ticket.upstreams, &ticket.remove.upstreams, ticket.number);
+    next
+}
+
+fn put<T: Clone>(known: &mut Named<Stamped<T>>, new: &Named<T>, removed: &[String], number: u64) {
+    known.retain(|name, _| !removed.contains(name));
+    for (name, value) in new.iter() {
+        known.insert(name.clone(), Stamped { changed: number, value: value.clone() });
+    }
+}
+
+/// A place within a configuration.
+struct Place<'a>(&'a str, &'a str);
+
+impl fmt::Display for Place<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.0, self.1)
+    }
+}
+
+fn check_fleet(fleet: &Fleet, findings: &mut Findings) {
+    for (name, up) in fleet.upstreams.iter() {
+        check_upstream(Place("upstreams", name), &up.value, fleet, findings);
+    }
+    for (name, service) in fleet.services.iter() {
+        let place = Place("services", name);
+        check_policy(&place, &service.value.policy, findings);
+        check_bear(&place, &service.value.bear, findings);
+        check_maps(name, &service.value, fleet, findings);
+    }
+    let bytes = serde_json::to_vec(fleet).map(|v| v.len()).unwrap_or(usize::MAX);
+    findings.require(
+        bytes <= MOST_BYTES,
+        "",
+        format!("the configuration has {bytes} bytes; at most {MOST_BYTES}"),
+    );
+}
+
+fn check_upstream(place: Place<'_>, up: &Upstream, fleet: &Fleet, findings: &mut Findings) {
+    let domain = fleet.domains.contains_key(&up.domain);
+    findings.require(
+        domain,
+        format!("{place}.domain"),
+        format!("no failure domain `{}`", up.domain),
+    );
+    let service = fleet.services.contains_key(&up.service);
+    findings.require(service, format!("{place}.service"), format!("no service `{}`", up.service));
+    findings.require(up.addr.port() != 0, format!("{place}.addr"), "the port is 0");
+}
+
+fn check_policy(place: &Place<'_>, p: &Policy, findings: &mut Findings) {
+    let at = |field: &str| format!("{place}.policy.{field}");
+    findings.require(p.soft_ms > 0, at("soft_ms"), "must be above 0");
+    findings.require(p.hard_ms >= p.soft_ms, at("hard_ms"), "must not be below soft_ms");
+    findings.require(p.hard_ms <= 60_000, at("hard_ms"), "must not be above 60000");
+    findings.require(
+        (0.0..=1.0).contains(&p.extra_share),
+        at("extra_share"),
+        "must be from 0 to 1",
+    );
+}
+
+fn check_bear(place: &Place<'_>, b: &Bear, findings: &mut Findings) {
+    let at = |field: &str| format!("{place}.bear.{field}");
+    findings.require(b.slots > 0, at("slots"), "must be above 0");
+    findings.require(b.connections >= b.slots, at("connections"), "must not be below slots");
+    findings.require(b.cold_rate > 0.0, at("cold_rate"), "must be above 0");
+    findings.require(b.cold_step > 0, at("cold_step"), "must be above 0");
+    findings.require(b.warm_rate >= b.cold_rate, at("warm_rate"), "must not be below cold_rate");
+    findings.require(b.queue > 0, at("queue"), "must be above 0");
+}
+
+fn check_maps(name: &str, service: &Service, fleet: &Fleet, findings: &mut Findings) {
+    findings.require(
+        !service.maps.is_empty(),
+        format!("services.{name}.maps"),
+        "must not be empty",
+    );
+    for (i, map) in service.maps.iter().enumerate() {
+        let place = format!("services.{name}.maps[{i}]");
+        let later = i == 0 || service.maps[i - 1].from < map.from;
+        findings.require(later, format!("{place}.from"), "must be above that of the map before");
+        findings.require(!map.shards.is_empty(), format!("{place}.shards"), "must not be empty");
+        for (shard, replicas) in map.shards.iter() {
+            let place = format!("{place}.shards.{shard}");
+            findings.require(!replicas.is_empty(), &place, "has no replica");
+            for up in replicas {
+                let known = fleet.upstreams.get(up).is_some_and(|u| u.value.service == name);
+                findings.require(known, &place, format!("`{up}` is no upstream of this service"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/protocol/mod.rs
@@ -0,0 +1,8 @@
+//! Messages and their codecs: towards callers, upstreams, peers, the platform and operators.
+
+pub(crate) mod caller;
+pub(crate) mod dump;
+pub(crate) mod frames;
+pub(crate) mod peer;
+pub(crate) mod platform;
+pub(crate) mod upstream;
--- /dev/null
+++ b/src/state/fleet.rs
@@ -0,0 +1,154 @@
+//! The fleet's configuration: failure domains, services with their shard maps, and upstreams.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::state::named::Named;
+
+/// Number of a snapshot of a service's index; higher is newer.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Snapshot(pub u64);
+
+/// The whole configuration in force.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Fleet {
+    /// Number of the last accepted ticket, which is also the version of the configuration.
+    pub version: u64,
+    /// Failure domains.
+    pub domains: Named<Stamped<Domain>>,
+    /// Services.
+    pub services: Named<Stamped<Service>>,
+    /// Upstreams.
+    pub upstreams: Named<Stamped<Upstream>>,
+}
+
+/// An object with the number of the ticket that last changed it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Stamped<T> {
+    /// Number of the ticket.
+    pub changed: u64,
+    /// The object.
+    pub value: T,
+}
+
+/// A failure domain.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Domain {
+    /// Operators have taken the failure domain out: no new work goes there.
+    pub out: bool,
+}
+
+/// A service: its shard maps, the policy of its answers, and what each of its upstreams bears.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Service {
+    /// How an answer trades time against coverage.
+    pub policy: Policy,
+    /// What each upstream of the service bears.
+    pub bear: Bear,
+    /// Shard maps, each in force from a snapshot on, oldest first.
+    pub maps: Vec<ShardMap>,
+}
+
+/// A shard map: the replicas of each shard, for all snapshots from `from` up to the next map.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ShardMap {
+    /// First snapshot that this map belongs to.
+    pub from: Snapshot,
+    /// Upstream names by shard.
+    pub shards: Named<Vec<String>>,
+}
+
+/// What an answer gives up first when time runs short.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Prefer {
+    /// Answer at the soft deadline with what there is.
+    #[default]
+    Tail,
+    /// Wait for missing shards up to the hard deadline.
+    Coverage,
+}
+
+/// Policy of a service's answers.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Policy {
+    /// What is given up first.
+    pub prefer: Prefer,
+    /// Soft deadline, in milliseconds.
+    pub soft_ms: u64,
+    /// Hard deadline, in milliseconds; a caller may ask for a shorter one.
+    pub hard_ms: u64,
+    /// Hedges and retries together, as a share of first attempts.
+    pub extra_share: f64,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self { prefer: Prefer::Tail, soft_ms: 200, hard_ms: 1_000, extra_share: 0.04 }
+    }
+}
+
+impl Policy {
+    /// Returns the hard deadline of a request whose caller asked for `asked`.
+    pub fn hard(&self, asked: Option<Duration>) -> Duration {
+        let hard = Duration::from_millis(self.hard_ms);
+        asked.map_or(hard, |d| d.min(hard))
+    }
+}
+
+/// What one upstream bears.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Bear {
+    /// Requests at once.
+    pub slots: u32,
+    /// Open connections at once.
+    pub connections: u32,
+    /// Requests a second that it bears when it has just started.
+    pub cold_rate: f64,
+    /// Answers after which a starting upstream bears twice as much.
+    pub cold_step: u32,
+    /// Requests a second from which on it counts as warm.
+    pub warm_rate: f64,
+    /// Requests that may wait at its steward.
+    pub queue: u32,
+}
+
+impl Default for Bear {
+    fn default() -> Self {
+        Self {
+            slots: 2,
+            connections: 25,
+            cold_rate: 20.0,
+            cold_step: 10,
+            warm_rate: 400.0,
+            queue: 64,
+        }
+    }
+}
+
+/// An upstream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Upstream {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its failure domain.
+    pub domain: String,
+    /// The service that it belongs to.
+    pub service: String,
+    /// It is leaving: no new work goes there.
+    #[serde(default)]
+    pub leaving: bool,
+}
--- /dev/null
+++ b/src/state/hash.rs
@@ -0,0 +1,19 @@
+//! Rendezvous hashing: every process that has the same members draws the same order.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Returns the weight of `member` for `item`.
+///
+/// Source: Thaler and Ravishankar, "Using name-based mappings to increase hit rates" (1998).
+pub fn weight(item: &str, member: &str) -> u64 {
+    let mut buf = Vec::with_capacity(item.len() + member.len() + 1);
+    buf.extend_from_slice(item.as_bytes());
+    buf.push(0);
+    buf.extend_from_slice(member.as_bytes());
+    xxh3_64(&buf)
+}
+
+/// Returns the digest of a request body, to tell two uses of one idempotency key apart.
+pub fn digest(body: &[u8]) -> u64 {
+    xxh3_64(body)
+}
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,16 @@
+//! Plain types and tables: time, keys, arenas, the fleet's configuration, rosters and news.
+//!
+//! Nothing here names a socket, a codec or a wall clock.
+
+pub(crate) mod arena;
+pub(crate) mod catalog;
+pub(crate) mod findings;
+pub(crate) mod fleet;
+pub(crate) mod hash;
+pub(crate) mod members;
+pub(crate) mod named;
+pub(crate) mod news;
+pub(crate) mod roster;
+pub(crate) mod sharded;
+pub(crate) mod ticket;
+pub(crate) mod time;
--- /dev/null
+++ b/src/state/named.rs
@@ -0,0 +1,72 @@
+//! A map from names to items that keeps its order and refuses a name given twice.
+
+use std::fmt;
+use std::marker::PhantomData;
+use std::ops::{Deref, DerefMut};
+
+use indexmap::IndexMap;
+use serde::de::{Deserialize, Deserializer, Error, MapAccess, Visitor};
+use serde::{Serialize, Serializer};
+
+/// Items by name, in the order in which they were written.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Named<T>(pub IndexMap<String, T>);
+
+impl<T> Default for Named<T> {
+    fn default() -> Self {
+        Self(IndexMap::new())
+    }
+}
+
+impl<T> Deref for Named<T> {
+    type Target = IndexMap<String, T>;
+
+    fn deref(&self) -> &Self::Target {
+        &self.0
+    }
+}
+
+impl<T> DerefMut for Named<T> {
+    fn deref_mut(&mut self) -> &mut Self::Target {
+        &mut self.0
+    }
+}
+
+impl<T> FromIterator<(String, T)> for Named<T> {
+    fn from_iter<I: IntoIterator<Item = (String, T)>>(iter: I) -> Self {
+        Self(iter.into_iter().collect())
+    }
+}
+
+impl<T: Serialize> Serialize for Named<T> {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        self.0.serialize(s)
+    }
+}
+
+impl<'de, T: Deserialize<'de>> Deserialize<'de> for Named<T> {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        d.deserialize_map(NamedVisitor(PhantomData))
+    }
+}
+
+struct NamedVisitor<T>(PhantomData<T>);
+
+impl<'de, T: Deserialize<'de>> Visitor<'de> for NamedVisitor<T> {
+    type Value = Named<T>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a map with each name once")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Named<T>, A::Error> {
+        let mut items = IndexMap::new();
+        while let Some((name, item)) = map.next_entry::<String, T>()? {
+            if items.contains_key(&name) {
+                return Err(A::Error::custom(format!("the name `{name}` is given twice")));
+            }
+            items.insert(name, item);
+        }
+        Ok(Named(items))
+    }
+}
--- /dev/null
+++ b/src/state/sharded.rs
@@ -0,0 +1,88 @@
+//! A table cut into shards, each under its own lock.
+//!
+//! A lock is held for the length of one closure: never over an `.await`, never two at once.
+
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+
+use crate::state::arena::{Arena, Key};
+
+/// Number of shards of a table; a power of two well above the worker threads of one process.
+const SHARDS: usize = 16;
+
+/// A table of items that have keys of their own, such as the gates of upstreams.
+pub struct Sharded<K, T> {
+    shards: Vec<Mutex<IndexMap<K, T>>>,
+}
+
+impl<K: Key, T> Default for Sharded<K, T> {
+    fn default() -> Self {
+        Self { shards: (0..SHARDS).map(|_| Mutex::default()).collect() }
+    }
+}
+
+impl<K: Key, T> Sharded<K, T> {
+    fn shard(&self, key: K) -> &Mutex<IndexMap<K, T>> {
+        &self.shards[key.index() % SHARDS]
+    }
+
+    /// Runs `f` on the item under its shard's lock, if it is there.
+    pub fn with<R>(&self, key: K, f: impl FnOnce(&mut T) -> R) -> Option<R> {
+        self.shard(key).lock().get_mut(&key).map(f)
+    }
+
+    /// Runs `f` on the item, which `make` builds first if it is missing.
+    pub fn with_or<R>(&self, key: K, make: impl FnOnce() -> T, f: impl FnOnce(&mut T) -> R) -> R {
+        f(self.shard(key).lock().entry(key).or_insert_with(make))
+    }
+
+    /// Runs `f` on every item, one shard's lock at a time.
+    pub fn for_each(&self, mut f: impl FnMut(K, &mut T)) {
+        for shard in &self.shards {
+            for (key, item) in shard.lock().iter_mut() {
+                f(*key, item);
+            }
+        }
+    }
+}
+
+/// Arenas side by side, each under its own lock, for items that come and go.
+pub struct ShardedArena<K, T> {
+    shards: Vec<Mutex<Arena<K, T>>>,
+}
+
+impl<K: Key, T> Default for ShardedArena<K, T> {
+    fn default() -> Self {
+        Self { shards: (0..SHARDS).map(|_| Mutex::default()).collect() }
+    }
+}
+
+impl<K: Key, T> ShardedArena<K, T> {
+    /// Stores an item in the shard that `hint` names and returns where it is.
+    pub fn insert(&self, hint: u64, item: T) -> (usize, K) {
+        let shard = hint as usize % SHARDS;
+        (shard, self.shards[shard].lock().insert(item))
+    }
+
+    /// Takes an item out.
+    pub fn remove(&self, (shard, key): (usize, K)) -> Option<T> {
+        self.shards[shard].lock().remove(key)
+    }
+
+    /// Returns the number of items in all shards.
+    pub fn len(&self) -> usize {
+        self.shards.iter().map(|s| s.lock().len()).sum()
+    }
+
+    /// Says whether no shard holds an item.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Runs `f` on every item, one shard's lock at a time.
+    pub fn for_each(&self, mut f: impl FnMut(&T)) {
+        for shard in &self.shards {
+            shard.lock().iter().for_each(|(_, item)| f(item));
+        }
+    }
+}
--- /dev/null
+++ b/src/state/time.rs
@@ -0,0 +1,35 @@
+//! Monotonic time as a plain number, so that decisions take it as an argument.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// A point on one process's monotonic clock, in microseconds since that process started.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Tick(pub u64);
+
+impl Tick {
+    /// Returns the time from `earlier` to `self`, or zero when `earlier` is later.
+    pub fn since(self, earlier: Tick) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Tick {
+    type Output = Tick;
+
+    fn add(self, d: Duration) -> Tick {
+        Tick(self.0.saturating_add(d.as_micros() as u64))
+    }
+}
+
+impl Sub<Duration> for Tick {
+    type Output = Tick;
+
+    fn sub(self, d: Duration) -> Tick {
+        Tick(self.0.saturating_sub(d.as_micros() as u64))
+    }
+}
--- /dev/null
+++ b/src/transport/beats.rs
@@ -0,0 +1,294 @@
+//! Heartbeats between instances: leases renewed, versions compared, changes pushed.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use rand::RngExt;
+use rand::seq::IndexedRandom;
+use tarpc::context;
+
+use crate::coordination::leases::{Ask, Verdict};
+use crate::coordination::tickets::Head;
+use crate::protocol::peer::{Beat, BeatReply, PeerClient, Ramped, Release};
+use crate::state::members::Rosters;
+use crate::state::roster::{Bucket, Member};
+use crate::transport::node::{Node, Phase};
+use crate::transport::steward;
+
+/// Time between heartbeats.
+pub(crate) const BEAT: Duration = Duration::from_millis(400);
+/// Longest time for a heartbeat.
+const TIMEOUT: Duration = Duration::from_millis(600);
+/// Longest time to fetch or push a configuration.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+/// Peers of one other failure domain that a change is pushed to.
+const PUSH_FAR: usize = 2;
+/// Approximate bytes of a heartbeat without its lists, for the count of control bytes.
+const BEAT_BYTES: u64 = 160;
+/// Approximate bytes of one request for a lease.
+const ASK_BYTES: u64 = 60;
+
+/// Sends heartbeats until the process ends.
+pub(crate) async fn run(node: Arc<Node>) {
+    loop {
+        let started = Instant::now();
+        round(&node).await;
+        node.metrics.beat_seconds.inc_by(started.elapsed().as_secs_f64().min(0.001));
+        give_back(&node).await;
+        align_gates(&node);
+        let jitter = rand::rng().random_range(0.9..1.1);
+        tokio::time::sleep(BEAT.mul_f64(jitter).saturating_sub(started.elapsed())).await;
+    }
+}
+
+async fn round(node: &Arc<Node>) {
+    let asks = node.leases.lock().asks(node.now());
+    grant_own(node, &asks);
+    let near = near_members(node).into_iter().map(|m| (m, asks.clone()));
+    let far = far_members(node).into_iter().map(|m| (m, Vec::new()));
+    // a slow peer must not delay the next round's leases
+    let beats = near.chain(far).map(|(m, asks)| tokio::spawn(beat(node.clone(), m.addr, asks)));
+    let all = join_all(beats);
+    let _ = tokio::time::timeout(BEAT, all).await;
+}
+
+fn grant_own(node: &Node, asks: &[Ask]) {
+    let now = node.now();
+    let mut leases = node.leases.lock();
+    for ask in asks {
+        let verdict = leases.grant(ask, now);
+        leases.answered(&node.me.id, ask, now, &verdict, now);
+    }
+}
+
+fn near_members(node: &Node) -> Vec<Member> {
+    let rosters = node.rosters();
+    let mut members: Vec<_> = rosters
+        .get(&node.cfg.domain)
+        .into_iter()
+        .flat_map(|r| &r.entries)
+        .map(|e| e.member.clone())
+        .collect();
+    members.retain(|m| m.id != node.me.id);
+    members
+}
+
+/// Picks one instance of each other failure domain, and a seed when nobody is known.
+fn far_members(node: &Node) -> Vec<Member> {
+    let rosters = node.rosters();
+    let listed = node.listed.lock().clone();
+    let known: Vec<Member> =
+        rosters.members().cloned().chain(listed).filter(|m| m.id != node.me.id).collect();
+    let mut domains: Vec<&String> = known.iter().map(|m| &m.domain).collect();
+    domains.sort_unstable();
+    domains.dedup();
+    let mut rng = rand::rng();
+    let mut picked: Vec<Member> = domains
+        .into_iter()
+        .filter(|d| **d != node.cfg.domain || !rosters.0.contains_key(*d))
+        .filter_map(|d| {
+            let there: Vec<_> = known.iter().filter(|m| m.domain == *d).collect();
+            there.choose(&mut rng).map(|m| (*m).clone())
+        })
+        .collect();
+    if known.is_empty()
+        && let Some(addr) = node.cfg.seeds.choose(&mut rng)
+    {
+        picked.push(Member { id: Default::default(), domain: String::new(), addr: *addr });
+    }
+    picked
+}
+
+fn context_for(limit: Duration) -> context::Context {
+    let mut cx = context::current();
+    cx.deadline = Instant::now() + limit;
+    cx
+}
+
+async fn beat(node: Arc<Node>, addr: SocketAddr, asks: Vec<Ask>) {
+    let Ok(link) = node.link(addr).await else { return };
+    let rosters = node.rosters().stamps();
+    let beat = Beat {
+        from: node.me.clone(),
+        asks: asks.clone(),
+        config: node.catalog().version(),
+        waiting: !node.leases.lock().roster().has(&node.me.id)
+            && *node.phase.read() != Phase::Leaving,
+        rosters,
+    };
+    node.metrics.control_calls.with_label_values(&["beat"]).inc();
+    node.metrics.control_bytes.inc_by(BEAT_BYTES + ASK_BYTES * asks.len() as u64);
+    let asked = node.now();
+    let reply = link.client.beat(context_for(TIMEOUT), beat).await;
+    if let Ok(reply) = reply {
+        link.heard(Some(node.now().since(asked)));
+        take_reply(&node, &link.client, &asks, asked, reply).await;
+    }
+}
+
+async fn take_reply(
+    node: &Arc<Node>,
+    peer: &PeerClient,
+    asks: &[Ask],
+    asked: crate::state::time::Tick,
+    reply: BeatReply,
+) {
+    let now = node.now();
+    node.heard.lock().insert(reply.from.clone(), now);
+    {
+        let mut leases = node.leases.lock();
+        for (ask, verdict) in asks.iter().zip(&reply.verdicts) {
+            leases.answered(&reply.from, ask, asked, verdict, now);
+        }
+    }
+    node.take_rosters(&reply.rosters);
+    if reply.config > node.catalog().version() {
+        let have = node.catalog().version();
+        node.metrics.control_calls.with_label_values(&["head"]).inc();
+        if let Ok(Some(head)) = peer.head(context_for(HEAD_TIMEOUT), have).await {
+            adopt_and_push(node, head);
+        }
+    }
+}
+
+/// Answers a heartbeat.
+pub(crate) fn take_beat(node: &Arc<Node>, beat: Beat) -> BeatReply {
+    let now = node.now();
+    node.heard.lock().insert(beat.from.id.clone(), now);
+    if beat.waiting {
+        node.waiting.lock().insert(beat.from.id.clone(), (beat.from.clone(), now));
+    }
+    let mut leases = node.leases.lock();
+    let verdicts: Vec<Verdict> = beat.asks.iter().map(|ask| leases.grant(ask, now)).collect();
+    drop(leases);
+    if beat.config > node.catalog().version() {
+        tokio::spawn(fetch_from(node.clone(), beat.from.addr));
+    }
+    BeatReply {
+        from: node.me.id.clone(),
+        verdicts,
+        config: node.catalog().version(),
+        rosters: node.rosters().other_than(&beat.rosters),
+    }
+}
+
+async fn fetch_from(node: Arc<Node>, addr: SocketAddr) {
+    let Some(peer) = node.peer(addr).await else { return };
+    let have = node.catalog().version();
+    if let Ok(Some(head)) = peer.head(context_for(HEAD_TIMEOUT), have).await {
+        adopt_and_push(&node, head);
+    }
+}
+
+/// Puts a configuration in force and, if it is new here, pushes it on.
+pub(crate) fn adopt_and_push(node: &Arc<Node>, head: Head) {
+    if node.adopt(head.clone()) {
+        pump_all(node);
+        tokio::spawn(push(node.clone(), head));
+    }
+}
+
+fn pump_all(node: &Arc<Node>) {
+    let mut keys = Vec::new();
+    node.gates.for_each(|key, _| keys.push(key));
+    keys.into_iter().for_each(|key| steward::pump(node, key));
+}
+
+async fn push(node: Arc<Node>, head: Head) {
+    let mut targets = near_members(&node);
+    let rosters = node.rosters();
+    for (domain, roster) in &rosters.0 {
+        if *domain != node.cfg.domain {
+            let far: Vec<_> = roster.entries.iter().map(|e| e.member.clone()).collect();
+            targets.extend(far.sample(&mut rand::rng(), PUSH_FAR).cloned());
+        }
+    }
+    let bytes = serde_json::to_vec(&head).map_or(0, |v| v.len()) as u64;
+    let send = async |m: Member| {
+        if let Some(peer) = node.peer(m.addr).await {
+            node.metrics.control_calls.with_label_values(&["push"]).inc();
+            node.metrics.control_bytes.inc_by(bytes);
+            let _ = peer.push(context_for(HEAD_TIMEOUT), head.clone()).await;
+        }
+    };
+    join_all(targets.into_iter().map(send)).await;
+}
+
+/// Brings every gate in line with the lease of its bucket, and lets waiting requests go or fail.
+pub(crate) fn align_gates(node: &Arc<Node>) {
+    let catalog = node.catalog();
+    let mut keys = Vec::new();
+    node.gates.for_each(|key, _| keys.push(key));
+    for key in keys {
+        let Some(up) = catalog.upstream(key) else { continue };
+        let (lease, now) = (node.lease(key), node.now());
+        node.gates.with(key, |gate| node.align(gate, &up.name, lease, now));
+        steward::pump(node, key);
+    }
+}
+
+/// Gives back the buckets that this instance should no longer hold, once nothing runs there.
+pub(crate) async fn give_back(node: &Arc<Node>) {
+    let buckets = node.leases.lock().to_release();
+    let mut releases = Vec::new();
+    for bucket in buckets {
+        if let Some(ramps) = ramps_of(node, &bucket) {
+            node.leases.lock().release(&bucket);
+            log::info!("bucket {} given back", bucket.0);
+            releases.push(Release { bucket, holder: node.me.id.clone(), ramps });
+        }
+    }
+    if releases.is_empty() {
+        return;
+    }
+    let tell = async |m: Member| {
+        if let Some(peer) = node.peer(m.addr).await {
+            let _ = peer.release(context_for(TIMEOUT), releases.clone()).await;
+        }
+    };
+    join_all(near_members(node).into_iter().map(tell)).await;
+}
+
+/// Returns the ramps of a bucket's upstreams, or nothing while a request runs at one of them.
+fn ramps_of(node: &Node, bucket: &Bucket) -> Option<Vec<Ramped>> {
+    let catalog = node.catalog();
+    let mut ramps = Vec::new();
+    for (key, _) in node.owners().iter().filter(|(_, o)| o.bucket == *bucket) {
+        let Some(up) = catalog.upstream(*key) else { continue };
+        let state = node.gates.with(*key, |gate| (gate.running(), gate.handover()));
+        if let Some((running, (answered, boot))) = state {
+            if running > 0 {
+                return None;
+            }
+            ramps.push(Ramped { upstream: up.name.clone(), answered, boot });
+        }
+    }
+    Some(ramps)
+}
+
+/// Takes in that buckets were given back, and asks for them at once where this instance may.
+pub(crate) fn take_release(node: &Arc<Node>, releases: Vec<Release>) {
+    let now = node.now();
+    for release in releases {
+        node.leases.lock().released(&release.bucket, &release.holder);
+        node.holders.lock().shift_remove(&release.bucket);
+        let mut ramps = node.ramps.lock();
+        for ramp in release.ramps {
+            ramps.insert(ramp.upstream.clone(), (ramp, now));
+        }
+    }
+    let node = node.clone();
+    tokio::spawn(async move { round(&node).await });
+}
+
+/// Tells the members of this failure domain of changed rosters.
+pub(crate) async fn tell_rosters(node: &Arc<Node>, rosters: Rosters) {
+    let tell = async |m: Member| {
+        if let Some(peer) = node.peer(m.addr).await {
+            let _ = peer.rosters(context_for(TIMEOUT), rosters.clone()).await;
+        }
+    };
+    join_all(near_members(node).into_iter().map(tell)).await;
+}
--- /dev/null
+++ b/src/transport/choices.rs
@@ -0,0 +1,99 @@
+//! What the decisions of a fan-out see of this instance's state.
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+
+use crate::coordination::fanout::Choices;
+use crate::coordination::replica::{Candidate, expected_us, pick};
+use crate::state::arena::{ServiceKey, UpstreamKey};
+use crate::state::catalog::{Catalog, ServiceEntry};
+use crate::state::time::Tick;
+use crate::transport::node::{Node, ServiceStats};
+use crate::transport::settings::Mode;
+
+/// Share of answers that come before an attempt is hedged.
+const HEDGE_QUANTILE: f64 = 0.95;
+/// A hedge waits at least this many times the time expected of the upstream asked.
+const HEDGE_TIMES: f64 = 2.0;
+
+/// The state of this instance as one query sees it.
+pub(crate) struct NodeChoices<'a> {
+    pub(crate) node: &'a Node,
+    pub(crate) catalog: &'a Catalog,
+    pub(crate) service: ServiceKey,
+    pub(crate) entry: &'a ServiceEntry,
+    pub(crate) rng: StdRng,
+}
+
+impl NodeChoices<'_> {
+    fn stats<R>(&self, f: impl FnOnce(&mut ServiceStats) -> R) -> R {
+        self.node.stats.with_or(self.service, ServiceStats::default, f)
+    }
+
+    pub(crate) fn candidate(&self, key: UpstreamKey) -> Candidate {
+        let heard = self.node.news.with(key, |heard| *heard).unwrap_or_default();
+        let open = self.catalog.upstream(key).is_some_and(|u| u.open);
+        // the configuration in force now goes before the one that the query began with
+        let open_now = open && self.node.catalog().upstream(key).is_some_and(|u| u.open);
+        let (reach, hop) = match self.node.owner(key) {
+            _ if self.node.cfg.mode == Mode::Baseline => (true, Duration::ZERO),
+            Some(owner) if owner.member.id == self.node.me.id => (true, Duration::ZERO),
+            Some(owner) => {
+                let (up, rtt) = self.node.links.state(owner.member.addr);
+                let far = owner.member.domain != self.node.cfg.domain;
+                let delay = if far { self.node.cfg.peer_delay * 2 } else { Duration::ZERO };
+                (up || self.has_deputy(&owner.bucket), rtt + delay)
+            }
+            None => (false, Duration::ZERO),
+        };
+        Candidate { key, heard, hop, open: open_now && reach }
+    }
+
+    fn has_deputy(&self, bucket: &crate::state::roster::Bucket) -> bool {
+        self.node.holders.lock().contains_key(bucket)
+    }
+}
+
+impl Choices for NodeChoices<'_> {
+    fn pick(
+        &mut self,
+        replicas: &[UpstreamKey],
+        tried: &[UpstreamKey],
+        now: Tick,
+    ) -> Option<UpstreamKey> {
+        let mut candidates: Vec<_> = replicas.iter().map(|r| self.candidate(*r)).collect();
+        if self.node.cfg.mode == Mode::Baseline {
+            candidates.iter_mut().for_each(|c| c.heard = Default::default());
+        }
+        let picked = pick(&candidates, tried, now, &mut self.rng);
+        if picked.is_some() {
+            self.node.metrics.attempts.inc();
+        }
+        picked
+    }
+
+    fn spend(&mut self) -> bool {
+        let spent = self.node.cfg.mode == Mode::Baseline || self.stats(|s| s.budget.spend());
+        if spent {
+            self.node.metrics.extra_attempts.inc();
+        }
+        spent
+    }
+
+    fn earn(&mut self) {
+        let share = self.entry.policy.extra_share;
+        self.stats(|s| s.budget.earn(share));
+    }
+
+    fn hedge_after(&mut self, upstream: UpstreamKey) -> Option<Duration> {
+        if self.node.cfg.mode == Mode::Baseline || !self.node.cfg.hedge {
+            return None;
+        }
+        let learnt = self.stats(|s| s.times.at(HEDGE_QUANTILE))?;
+        let now = self.node.now();
+        let c = self.candidate(upstream);
+        let expected = Duration::from_secs_f64(expected_us(&c, now) * HEDGE_TIMES / 1e6);
+        Some(learnt.max(expected.min(learnt * 2)))
+    }
+}
--- /dev/null
+++ b/src/transport/clock.rs
@@ -0,0 +1,29 @@
+//! The process's monotonic clock; the only place that reads one.
+
+use std::time::{Duration, Instant};
+
+use crate::state::time::Tick;
+
+/// A monotonic clock that counts from its own start.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self { start: Instant::now() }
+    }
+}
+
+impl Clock {
+    /// Returns the time now.
+    pub fn now(&self) -> Tick {
+        Tick(self.start.elapsed().as_micros() as u64)
+    }
+
+    /// Sleeps until `at`.
+    pub async fn sleep_until(&self, at: Tick) {
+        tokio::time::sleep_until((self.start + Duration::from_micros(at.0)).into()).await;
+    }
+}
--- /dev/null
+++ b/src/transport/faults.rs
@@ -0,0 +1,40 @@
+//! Faults that tests switch on at an instance; without `--test-faults` they cannot be set.
+
+use std::net::SocketAddr;
+
+use parking_lot::RwLock;
+use serde::{Deserialize, Serialize};
+
+/// The faults in force.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(crate) struct FaultSet {
+    /// Peer listeners that cannot be reached, and whose calls are not answered.
+    pub(crate) cut_peers: Vec<SocketAddr>,
+    /// Names of instances whose calls are not answered.
+    pub(crate) cut_names: Vec<String>,
+    /// The platform cannot be reached.
+    pub(crate) cut_platform: bool,
+}
+
+/// Holder of the faults in force.
+#[derive(Default)]
+pub(crate) struct Faults(RwLock<FaultSet>);
+
+impl Faults {
+    pub(crate) fn set(&self, set: FaultSet) {
+        *self.0.write() = set;
+    }
+
+    pub(crate) fn cuts_peer(&self, addr: SocketAddr) -> bool {
+        self.0.read().cut_peers.contains(&addr)
+    }
+
+    pub(crate) fn cuts_name(&self, name: &str) -> bool {
+        self.0.read().cut_names.iter().any(|n| n == name)
+    }
+
+    pub(crate) fn cuts_platform(&self) -> bool {
+        self.0.read().cut_platform
+    }
+}
--- /dev/null
+++ b/src/transport/http.rs
@@ -0,0 +1,205 @@
+//! The HTTP plumbing that all listeners and clients share.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use hyper::header::CONTENT_TYPE;
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Time in which a request's headers, and then its body, must have come.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// Most bytes of an answer that a client takes.
+const MOST_ANSWER: usize = 8 << 20;
+
+/// A response with a whole body.
+pub(crate) type FullResponse = Response<Full<Bytes>>;
+
+/// A body could not be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodyError {
+    TooLarge,
+    TooSlow,
+    Broken,
+}
+
+/// Reads a whole body of at most `most` bytes.
+pub(crate) async fn read_body(body: Incoming, most: usize) -> Result<Bytes, BodyError> {
+    let whole = Limited::new(body, most).collect();
+    match tokio::time::timeout(READ_TIMEOUT, whole).await {
+        Err(_) => Err(BodyError::TooSlow),
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(BodyError::TooLarge),
+        Ok(Err(_)) => Err(BodyError::Broken),
+    }
+}
+
+/// Builds a JSON response.
+pub(crate) fn json(status: u16, value: &impl Serialize) -> FullResponse {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    respond(status, "application/json", body.into())
+}
+
+/// Builds a plain text response.
+pub(crate) fn plain(status: u16, text: impl Into<String>) -> FullResponse {
+    respond(status, "text/plain", text.into().into())
+}
+
+fn respond(status: u16, kind: &'static str, body: Bytes) -> FullResponse {
+    let mut res = Response::new(Full::new(body));
+    *res.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    res.headers_mut().insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static(kind));
+    res
+}
+
+/// Serves HTTP until `stop` fires; requests under way are finished.
+pub(crate) async fn serve<F, R>(listener: TcpListener, stop: CancellationToken, handler: F)
+where
+    F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
+    R: Future<Output = FullResponse> + Send + 'static,
+{
+    let handler = Arc::new(handler);
+    let tasks = TaskTracker::new();
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    log::warn!("accept: {e}");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                    continue;
+                }
+            },
+            () = stop.cancelled() => break,
+        };
+        tasks.spawn(serve_one(stream, stop.clone(), handler.clone()));
+    }
+    drop(listener);
+    tasks.close();
+    tasks.wait().await;
+}
+
+async fn serve_one<F, R>(stream: TcpStream, stop: CancellationToken, handler: Arc<F>)
+where
+    F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
+    R: Future<Output = FullResponse> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |req| {
+        let answer = handler(req);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let conn = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(READ_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut conn = std::pin::pin!(conn);
+    tokio::select! {
+        _ = conn.as_mut() => return,
+        () = stop.cancelled() => conn.as_mut().graceful_shutdown(),
+    }
+    let _ = conn.await;
+}
+
+/// A reply to a client of this module.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// Sends a `GET`.
+///
+/// # Errors
+/// When no whole answer came within `timeout`.
+pub async fn get(addr: SocketAddr, path: &str, timeout: Duration) -> Result<Reply> {
+    let req = Request::get(path).header("host", addr.to_string()).body(Full::default())?;
+    send(addr, req, timeout).await
+}
+
+/// Sends a `POST` with these headers and this body.
+///
+/// # Errors
+/// When no whole answer came within `timeout`.
+pub async fn post(
+    addr: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+    timeout: Duration,
+) -> Result<Reply> {
+    let mut req = Request::post(path).header("host", addr.to_string());
+    for (name, value) in headers {
+        req = req.header(*name, *value);
+    }
+    send(addr, req.body(Full::new(body.into()))?, timeout).await
+}
+
+/// A connection for one exchange.
+pub(crate) struct Client {
+    send: SendRequest<Full<Bytes>>,
+    _task: AbortOnDrop,
+}
+
+impl Client {
+    /// Opens a connection.
+    pub(crate) async fn open(addr: SocketAddr, wait: Duration) -> Result<Self> {
+        let open = async {
+            let stream = TcpStream::connect(addr).await?;
+            stream.set_nodelay(true)?;
+            anyhow::Ok(hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?)
+        };
+        let opened = tokio::time::timeout(wait, open).await.context("timed out").flatten();
+        let (send, conn) = opened.with_context(|| format!("cannot connect to {addr}"))?;
+        let task = tokio::spawn(async move {
+            let _ = conn.await;
+        });
+        Ok(Self { send, _task: AbortOnDrop(task) })
+    }
+
+    /// Sends a request; after an error it may have taken effect.
+    pub(crate) async fn send(mut self, req: Request<Full<Bytes>>, wait: Duration) -> Result<Reply> {
+        let exchange = async { read_reply(self.send.send_request(req).await?).await };
+        tokio::time::timeout(wait, exchange).await.context("no answer in time")?
+    }
+}
+
+async fn send(addr: SocketAddr, req: Request<Full<Bytes>>, timeout: Duration) -> Result<Reply> {
+    Client::open(addr, timeout).await?.send(req, timeout).await
+}
+
+/// Reads the whole answer to a request.
+pub(crate) async fn read_reply(res: Response<Incoming>) -> Result<Reply> {
+    let (parts, body) = res.into_parts();
+    let body = Limited::new(body, MOST_ANSWER)
+        .collect()
+        .await
+        .map_err(|e| anyhow::anyhow!("body: {e}"))?;
+    Ok(Reply { status: parts.status.as_u16(), headers: parts.headers, body: body.to_bytes() })
+}
+
+/// A task that ends with its owner.
+#[derive(Debug)]
+pub(crate) struct AbortOnDrop(pub(crate) tokio::task::JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
--- /dev/null
+++ b/src/transport/once_request.rs
@@ -0,0 +1,136 @@
+//! A non-idempotent request with an idempotency key: claim, send, settle.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use crate::coordination::attempt::{Outcome, Why};
+use crate::coordination::once::{Claim, Settle, Step, Written, after_create, after_read, settle};
+use crate::protocol::caller::{Part, Refusal, RequestAnswer, Wishes};
+use crate::protocol::platform::claim_key;
+use crate::state::hash;
+use crate::transport::entry;
+use crate::transport::node::Node;
+
+/// Most bytes of an answer that is kept for a caller who asks again.
+const MOST_KEPT: usize = 64 << 10;
+
+/// Runs a non-idempotent request.
+pub(crate) async fn request(
+    node: &Arc<Node>,
+    service: &str,
+    wishes: Wishes,
+    body: Bytes,
+) -> Result<RequestAnswer, Refusal> {
+    let Some(key) = wishes.key.clone() else {
+        let (shard, body) = entry::place(node, service, &wishes, body).await?;
+        return Ok(RequestAnswer { replayed: false, part: Part::new(shard, body) });
+    };
+    if node.catalog().service(service).is_none() {
+        return Err(Refusal::NotRun { reason: Why::UnknownService });
+    }
+    let (node, service) = (node.clone(), service.to_owned());
+    // the claim is settled even when the caller has gone
+    let keyed =
+        tokio::spawn(async move { Keyed::new(node, service, key, &body).run(wishes, body).await });
+    keyed.await.unwrap_or(Err(Refusal::OutcomeUnknown { reason: crate::Fault::Lost }))
+}
+
+struct Keyed {
+    node: Arc<Node>,
+    service: String,
+    object: String,
+    claim: Claim,
+    version: u64,
+}
+
+impl Keyed {
+    fn new(node: Arc<Node>, service: String, key: String, body: &[u8]) -> Self {
+        let claim = Claim { token: node.fresh(), digest: hash::digest(body), answer: None };
+        Self { object: claim_key(&service, &key), node, service, claim, version: 0 }
+    }
+
+    async fn run(mut self, wishes: Wishes, body: Bytes) -> Result<RequestAnswer, Refusal> {
+        match self.create().await {
+            Step::Send => {}
+            Step::Replay(answer) => {
+                return serde_json::from_str(&answer)
+                    .map(|part| RequestAnswer { replayed: true, part })
+                    .map_err(|_| Refusal::OutcomeUnknown { reason: crate::Fault::Unsettled });
+            }
+            Step::Refuse(reason) => return Err(Refusal::NotRun { reason }),
+            Step::Unsettled(reason) => return Err(Refusal::OutcomeUnknown { reason }),
+            Step::ReadBack => return Err(Refusal::NotRun { reason: Why::PlatformAway }),
+        }
+        let placed = entry::place(&self.node, &self.service, &wishes, body).await;
+        let answer = placed.map(|(shard, body)| Part::new(shard, body));
+        self.settle(&answer).await;
+        answer.map(|part| RequestAnswer { replayed: false, part })
+    }
+
+    async fn create(&mut self) -> Step {
+        let value = serde_json::to_string(&self.claim).unwrap_or_default();
+        let written = match self.platform().map(|p| p.put(&self.object, value, 0)) {
+            Some(put) => put.await,
+            None => return Step::Refuse(Why::PlatformAway),
+        };
+        match written {
+            Err(_) => Step::Refuse(Why::PlatformAway),
+            Ok((written, version)) => {
+                self.version = version;
+                match after_create(written) {
+                    Step::ReadBack => self.read_back().await,
+                    step => step,
+                }
+            }
+        }
+    }
+
+    async fn read_back(&mut self) -> Step {
+        let Some(platform) = self.platform() else { return Step::Refuse(Why::PlatformAway) };
+        let found = match platform.get(&self.object).await {
+            Err(_) => None,
+            Ok(None) => Some(None),
+            Ok(Some(object)) => match serde_json::from_str::<Claim>(&object.value) {
+                Ok(claim) => {
+                    self.version = object.version;
+                    Some(Some(claim))
+                }
+                Err(_) => None,
+            },
+        };
+        after_read(found, &self.claim)
+    }
+
+    fn platform(&self) -> Option<&dyn crate::protocol::platform::Platform> {
+        self.node.metrics.platform_calls.with_label_values(&["claim"]).inc();
+        (!self.node.faults.cuts_platform()).then_some(self.node.platform.as_ref())
+    }
+
+    async fn settle(&mut self, answer: &Result<Part, Refusal>) {
+        let kind = match answer {
+            Ok(_) => settle(&Outcome::Answer(Bytes::new())),
+            Err(Refusal::OutcomeUnknown { reason }) => settle(&Outcome::Unknown(*reason)),
+            Err(_) => Settle::Remove,
+        };
+        let Some(platform) = self.platform() else { return };
+        match (kind, answer) {
+            (Settle::Record, Ok(part)) => {
+                let text = serde_json::to_string(part).unwrap_or_default();
+                if text.len() > MOST_KEPT {
+                    return;
+                }
+                let claim = Claim { answer: Some(text), ..self.claim.clone() };
+                let value = serde_json::to_string(&claim).unwrap_or_default();
+                let written = platform.put(&self.object, value, self.version).await;
+                if !matches!(written, Ok((Written::Yes, _))) {
+                    log::warn!("the answer to {} could not be recorded", self.object);
+                }
+            }
+            (Settle::Remove, _) => {
+                let _ = platform.remove(&self.object, self.version).await;
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/platform_http.rs
@@ -0,0 +1,115 @@
+//! The platform's object API over HTTP with JSON.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http_body_util::Full;
+use hyper::{Method, Request};
+use serde::de::DeserializeOwned;
+
+use crate::coordination::once::Written;
+use crate::protocol::platform::{Away, Listed, Object, Platform, WriteResult};
+use crate::transport::http::{Client, Reply};
+
+/// Longest time for a read or a write.
+const TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// The platform over HTTP.
+pub struct HttpPlatform {
+    addr: SocketAddr,
+}
+
+impl HttpPlatform {
+    /// Builds a client; nothing is sent yet.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self { addr }
+    }
+
+    async fn read_reply(&self, path: String, wait: Duration) -> Result<Reply, Away> {
+        self.call(Method::GET, path, String::new(), wait)
+            .await?
+            .ok_or_else(|| Away("no answer".into()))
+    }
+
+    /// Makes a call: an error means that nothing was sent, `None` that the answer was lost.
+    async fn call(
+        &self,
+        method: Method,
+        path: String,
+        body: String,
+        wait: Duration,
+    ) -> Result<Option<Reply>, Away> {
+        let req = Request::builder().method(method).uri(path).header("host", self.addr.to_string());
+        let req = req.body(Full::new(Bytes::from(body))).map_err(|e| Away(e.to_string()))?;
+        let client = Client::open(self.addr, TIMEOUT).await.map_err(|e| Away(format!("{e:#}")))?;
+        Ok(client.send(req, wait).await.ok())
+    }
+
+    async fn read(&self, path: String, wait: Duration) -> Result<Option<Object>, Away> {
+        let reply = self.read_reply(path, wait).await?;
+        match reply.status {
+            200 => parse(&reply).map(Some),
+            204 | 404 => Ok(None),
+            status => Err(Away(format!("status {status}"))),
+        }
+    }
+}
+
+fn parse<T: DeserializeOwned>(reply: &Reply) -> Result<T, Away> {
+    serde_json::from_slice(&reply.body).map_err(|e| Away(e.to_string()))
+}
+
+impl Platform for HttpPlatform {
+    fn get(&self, key: &str) -> BoxFuture<'_, Result<Option<Object>, Away>> {
+        Box::pin(self.read(format!("/v1/objects/{key}"), TIMEOUT))
+    }
+
+    fn put(
+        &self,
+        key: &str,
+        value: String,
+        version: u64,
+    ) -> BoxFuture<'_, Result<WriteResult, Away>> {
+        let path = format!("/v1/objects/{key}?if_version={version}");
+        Box::pin(async move {
+            match self.call(Method::PUT, path, value, TIMEOUT).await? {
+                Some(reply) if reply.status == 200 => {
+                    Ok((Written::Yes, parse::<Object>(&reply)?.version))
+                }
+                Some(reply) if reply.status == 409 => Ok((Written::Conflict, 0)),
+                Some(reply) if reply.status == 429 => Err(Away("too many calls".into())),
+                _ => Ok((Written::Unknown, 0)),
+            }
+        })
+    }
+
+    fn remove(&self, key: &str, version: u64) -> BoxFuture<'_, Result<Written, Away>> {
+        let path = format!("/v1/objects/{key}?if_version={version}");
+        Box::pin(async move {
+            match self.call(Method::DELETE, path, String::new(), TIMEOUT).await? {
+                Some(reply) if reply.status == 200 => Ok(Written::Yes),
+                Some(reply) if reply.status == 409 || reply.status == 404 => Ok(Written::Conflict),
+                _ => Ok(Written::Unknown),
+            }
+        })
+    }
+
+    fn watch(
+        &self,
+        key: &str,
+        after: u64,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<Option<Object>, Away>> {
+        let path = format!("/v1/watch/{key}?after={after}&wait_ms={}", wait.as_millis());
+        Box::pin(self.read(path, wait + TIMEOUT))
+    }
+
+    fn instances(&self) -> BoxFuture<'_, Result<Vec<Listed>, Away>> {
+        Box::pin(async move {
+            let reply = self.read_reply("/v1/instances".into(), TIMEOUT).await?;
+            parse(&reply)
+        })
+    }
+}
--- /dev/null
+++ b/src/transport/platform_memory.rs
@@ -0,0 +1,99 @@
+//! A platform kept in the process, for a first try of one instance alone.
+
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+use crate::coordination::once::Written;
+use crate::protocol::platform::{Away, Listed, Object, Platform, WriteResult};
+
+/// A platform kept in the process; it ends with it.
+#[derive(Default)]
+pub struct MemoryPlatform {
+    objects: Mutex<IndexMap<String, Object>>,
+    listed: Mutex<Vec<Listed>>,
+    changed: Notify,
+}
+
+impl MemoryPlatform {
+    /// Sets the instance list.
+    pub fn list(&self, listed: Vec<Listed>) {
+        *self.listed.lock() = listed;
+    }
+
+    fn read(&self, key: &str) -> Option<Object> {
+        self.objects.lock().get(key).cloned()
+    }
+
+    fn write(&self, key: &str, value: String, version: u64) -> WriteResult {
+        let mut objects = self.objects.lock();
+        let now = objects.get(key).map_or(0, |o| o.version);
+        if now != version {
+            return (Written::Conflict, now);
+        }
+        objects.insert(key.to_owned(), Object { version: now + 1, value });
+        self.changed.notify_waiters();
+        (Written::Yes, now + 1)
+    }
+
+    fn delete(&self, key: &str, version: u64) -> Written {
+        let mut objects = self.objects.lock();
+        if objects.get(key).map(|o| o.version) != Some(version) {
+            return Written::Conflict;
+        }
+        objects.shift_remove(key);
+        Written::Yes
+    }
+
+    async fn wait_above(&self, key: &str, after: u64) -> Object {
+        loop {
+            let changed = self.changed.notified();
+            if let Some(object) = self.read(key).filter(|o| o.version > after) {
+                return object;
+            }
+            changed.await;
+        }
+    }
+}
+
+impl Platform for MemoryPlatform {
+    fn get(&self, key: &str) -> BoxFuture<'_, Result<Option<Object>, Away>> {
+        let found = self.read(key);
+        Box::pin(async move { Ok(found) })
+    }
+
+    fn put(
+        &self,
+        key: &str,
+        value: String,
+        version: u64,
+    ) -> BoxFuture<'_, Result<WriteResult, Away>> {
+        let written = self.write(key, value, version);
+        Box::pin(async move { Ok(written) })
+    }
+
+    fn remove(&self, key: &str, version: u64) -> BoxFuture<'_, Result<Written, Away>> {
+        let written = self.delete(key, version);
+        Box::pin(async move { Ok(written) })
+    }
+
+    fn watch(
+        &self,
+        key: &str,
+        after: u64,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<Option<Object>, Away>> {
+        let key = key.to_owned();
+        Box::pin(
+            async move { Ok(tokio::time::timeout(wait, self.wait_above(&key, after)).await.ok()) },
+        )
+    }
+
+    fn instances(&self) -> BoxFuture<'_, Result<Vec<Listed>, Away>> {
+        let listed = self.listed.lock().clone();
+        Box::pin(async move { Ok(listed) })
+    }
+}
--- /dev/null
+++ b/src/transport/submit.rs
@@ -0,0 +1,85 @@
+//! Submission of a ticket: one conditional update of the platform's head object.
+
+use std::sync::Arc;
+
+use anyhow::{Context, Result, anyhow};
+
+use crate::coordination::once::Written;
+use crate::coordination::tickets::{Accepted, Change, Head};
+use crate::protocol::platform::{HEAD, Object, ticket_key};
+use crate::state::findings::Findings;
+use crate::state::ticket::Ticket;
+use crate::transport::beats;
+use crate::transport::node::Node;
+
+/// Times that a submission is tried again after another one came first.
+const TRIES: usize = 5;
+
+/// How a submission ended.
+pub(crate) enum Submitted {
+    /// It is in force from this version on.
+    Accepted(u64),
+    /// It was refused for these reasons; nothing was changed.
+    Refused(Findings),
+    /// The platform is away and nothing was changed.
+    Away(String),
+    /// The platform's answer was lost and could not be read back.
+    Unknown(String),
+}
+
+/// Submits a ticket.
+pub(crate) async fn submit(node: &Arc<Node>, ticket: Ticket) -> Submitted {
+    let mut draft = Change::new(ticket);
+    let token = node.fresh();
+    for _ in 0..TRIES {
+        let (head, version) = match read_head(node).await {
+            Ok(read) => read,
+            Err(e) => return Submitted::Away(format!("{e:#}")),
+        };
+        let checked = match draft.check(&head, token) {
+            Ok(checked) => checked,
+            Err(findings) => return Submitted::Refused(findings),
+        };
+        let value = serde_json::to_string(checked.head()).unwrap_or_default();
+        match node.platform.put(HEAD, value, version).await {
+            Err(e) => return Submitted::Away(e.to_string()),
+            Ok((Written::Yes, _)) => return accepted(node, checked.accepted()).await,
+            Ok((Written::Conflict, _)) => draft = checked.conflict(),
+            Ok((Written::Unknown, _)) => match read_head(node).await {
+                Err(e) => return Submitted::Unknown(format!("{e:#}")),
+                Ok((found, _)) => match checked.read_back(&found) {
+                    Ok(change) => return accepted(node, change).await,
+                    Err(back) => draft = back,
+                },
+            },
+        }
+    }
+    Submitted::Away("other tickets kept coming first".into())
+}
+
+async fn accepted(node: &Arc<Node>, change: Change<Accepted>) -> Submitted {
+    let version = change.head().fleet.version;
+    log::info!("ticket {version} accepted");
+    beats::adopt_and_push(node, change.head().clone());
+    let text = serde_json::to_string(change.ticket()).unwrap_or_default();
+    node.metrics.platform_calls.with_label_values(&["ticket"]).inc();
+    let _ = node.platform.put(&ticket_key(version), text, 0).await;
+    Submitted::Accepted(version)
+}
+
+/// Reads the head object and its version in the platform.
+pub(crate) async fn read_head(node: &Node) -> Result<(Head, u64)> {
+    if node.faults.cuts_platform() {
+        return Err(anyhow!("the platform is cut off"));
+    }
+    node.metrics.platform_calls.with_label_values(&["head"]).inc();
+    let found = node.platform.get(HEAD).await?;
+    found.map_or(Ok((Head::default(), 0)), |object| parse_head(&object))
+}
+
+/// Decodes the head object.
+pub(crate) fn parse_head(object: &Object) -> Result<(Head, u64)> {
+    let head =
+        serde_json::from_str(&object.value).context("the head object cannot be understood")?;
+    Ok((head, object.version))
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,7 @@
+//! Small stand-ins for what the query tier meets: the platform, upstreams, callers and a balancer.
+
+pub mod load;
+pub mod platform;
+pub mod rig;
+pub mod server;
+pub mod upstream;
