Lease fixed buckets, and change a roster in two steps

Ruled out: clock drift (1 part in 100 is in the run and within the margin). Change: 64 fixed buckets for each failure domain; the former entries bind until more than half of them are seen with the change for longer than a grant counts; requests and releases carry the asker's time; dead means missing from the instance list and silent for 5 s, both.

--- a/src/coordination/leases.rs
+++ b/src/coordination/leases.rs
@@ -64,6 +64,8 @@
     pub holder: InstanceId,
     /// Stamp of the roster that the asker has.
     pub stamp: u64,
+    /// When it was asked, on the asker's clock.
+    pub at: Tick,
 }
 
 /// A granter's answer.
@@ -83,6 +85,8 @@
 struct Grant {
     holder: InstanceId,
     until: Tick,
+    // when the holder asked, on its own clock
+    asked: Tick,
 }
 
 #[derive(Default)]
@@ -109,11 +113,18 @@
     me: InstanceId,
     opts: LeaseOptions,
     roster: Roster,
-    former: Option<(Roster, Tick)>,
+    stamp: u64,
+    owners: IndexMap<Bucket, Vec<InstanceId>>,
     grants_from: Tick,
     leaving: bool,
     grants: IndexMap<Bucket, Grant>,
     held: IndexMap<Bucket, Holding>,
+    // when this instance gave a bucket back; answers to what it asked before no longer count
+    given_back: IndexMap<Bucket, Tick>,
+    // since when each member has been seen with the roster in use
+    adopted: IndexMap<InstanceId, Tick>,
+    // when each member last asked for a lease; one that is leaving does not ask
+    asking: IndexMap<InstanceId, Tick>,
 }
 
 impl Leases {
@@ -123,11 +134,15 @@
             me,
             opts,
             roster: Roster::default(),
-            former: None,
+            stamp: 0,
+            owners: IndexMap::new(),
             grants_from: now + opts.hold + opts.margin,
             leaving: false,
             grants: IndexMap::new(),
             held: IndexMap::new(),
+            given_back: IndexMap::new(),
+            adopted: IndexMap::new(),
+            asking: IndexMap::new(),
         }
     }
 
@@ -141,7 +156,7 @@
         &self.roster
     }
 
-    /// Takes a roster in use; until grants given under the former one have run out, both bind.
+    /// Takes a roster in use.
     pub fn set_roster(&mut self, roster: Roster, now: Tick) {
         if roster == self.roster {
             return;
@@ -152,19 +167,34 @@
         if roster.entries.len() == 1 && self.roster.entries.is_empty() {
             self.grants_from = now;
         }
-        let former = std::mem::replace(&mut self.roster, roster);
-        let alone = self.roster.entries.len() <= 1 || former.entries.is_empty();
-        self.former = (!alone).then_some((former, now + self.opts.hold + self.opts.margin));
-        self.held.retain(|b, _| self.roster.entry(b).is_some());
+        self.roster = roster;
+        self.stamp = self.roster.stamp();
+        self.adopted = [(self.me.clone(), now)].into();
+        let ids = |b| self.roster.owners(b).into_iter().map(|e| e.member.id.clone()).collect();
+        self.owners = Bucket::all().map(|b| (b, ids(b))).collect();
     }
 
     /// Says whether the entry of another instance, which may just have granted, passes to this one.
     fn inherits(&self, roster: &Roster) -> bool {
         let Some(mine) = roster.entry_of(&self.me) else { return false };
-        let before = self.roster.entry(&mine.bucket).map(|e| &e.member.id);
+        let before = self.roster.entries.iter().find(|e| e.key == mine.key).map(|e| &e.member.id);
         before.is_some_and(|id| id.name() != self.me.name())
     }
 
+    /// Notes that a member was heard, with the stamp of the roster that it has in use.
+    pub fn heard(&mut self, from: &InstanceId, stamp: u64, now: Tick) {
+        if stamp == self.stamp {
+            self.adopted.entry(from.clone()).or_insert(now);
+        }
+    }
+
+    /// Returns the members that have had the roster in use for so long that no grant they gave
+    /// under another one still counts.
+    pub fn adopted(&self, now: Tick) -> Vec<InstanceId> {
+        let long = |at: &Tick| now.since(*at) > self.opts.hold + self.opts.margin;
+        self.adopted.iter().filter(|(_, at)| long(at)).map(|(id, _)| id.clone()).collect()
+    }
+
     /// Stops asking and holding: this instance is leaving; it grants to others while it is a member.
     pub fn leave(&mut self) {
         self.leaving = true;
@@ -176,122 +206,113 @@
         if !member || now < self.grants_from {
             return Verdict::NotGranting;
         }
-        if ask.stamp != self.roster.stamp() {
+        if ask.stamp != self.stamp {
             return Verdict::OtherRoster;
         }
+        self.asking.insert(ask.holder.clone(), now);
         self.note_owner(ask);
         match self.grants.get(&ask.bucket) {
             Some(g) if g.until > now && g.holder != ask.holder => Verdict::HeldBy(g.holder.clone()),
             _ => {
                 let until = now + self.opts.hold + self.opts.margin;
-                let grant = Grant { holder: ask.holder.clone(), until };
-                self.grants.insert(ask.bucket.clone(), grant);
+                let asked = self
+                    .grants
+                    .get(&ask.bucket)
+                    .filter(|g| g.holder == ask.holder)
+                    .map(|g| g.asked);
+                let asked = asked.map_or(ask.at, |at| at.max(ask.at));
+                self.grants.insert(ask.bucket, Grant { holder: ask.holder.clone(), until, asked });
                 Verdict::Granted
             }
         }
     }
 
-    /// A deputy that hears the owner ask gives way.
+    /// Another holder that hears the owner ask gives way.
     fn note_owner(&mut self, ask: &Ask) {
-        let owner = self.roster.entry(&ask.bucket).is_some_and(|e| e.member.id == ask.holder);
-        if owner
-            && ask.holder != self.me
+        if ask.holder != self.me
+            && self.owner(ask.bucket) == Some(&ask.holder)
             && let Some(held) = self.held.get_mut(&ask.bucket)
         {
             held.yielding = true;
         }
     }
 
+    fn owner(&self, bucket: Bucket) -> Option<&InstanceId> {
+        self.owners.get(&bucket)?.first()
+    }
+
     /// Returns what this instance should ask of every member now, itself included.
     pub fn asks(&mut self, now: Tick) -> Vec<Ask> {
         if self.leaving || !self.roster.has(&self.me) {
             return Vec::new();
         }
-        let stamp = self.roster.stamp();
-        let wanted: Vec<Bucket> = self
-            .roster
-            .entries
-            .iter()
-            .filter(|e| self.wants(e, now))
-            .map(|e| e.bucket.clone())
-            .collect();
-        let ask = |bucket| Ask { bucket, holder: self.me.clone(), stamp };
-        wanted.into_iter().map(ask).collect()
+        let ask = |bucket| Ask { bucket, holder: self.me.clone(), stamp: self.stamp, at: now };
+        Bucket::all().filter(|b| self.wants(*b, now)).map(ask).collect()
     }
 
-    fn wants(&self, e: &Entry, now: Tick) -> bool {
-        if e.member.id == self.me {
+    fn wants(&self, bucket: Bucket, now: Tick) -> bool {
+        if self.owner(bucket) == Some(&self.me) {
             return true;
         }
-        match self.grants.get(&e.bucket) {
-            Some(g) if g.until > now => g.holder == self.me && !self.yields(&e.bucket),
-            _ => self.first_deputy(e, now),
+        match self.grants.get(&bucket) {
+            Some(g) if g.until > now => g.holder == self.me && !self.yields(bucket),
+            _ => self.first_deputy(bucket, now),
         }
     }
 
-    /// Says whether all who stand in for `e` before this instance have gone silent too.
-    fn first_deputy(&self, e: &Entry, now: Tick) -> bool {
+    /// Says whether the owner and all who stand in for it before this instance have gone silent.
+    fn first_deputy(&self, bucket: Bucket, now: Tick) -> bool {
         if now < self.grants_from + self.opts.hold {
             return false; // the owner has had no time to ask
         }
-        let alive = |d: &&Entry| {
-            d.member.id == self.me || self.grants.get(&d.bucket).is_some_and(|g| g.until > now)
+        let silence = self.opts.hold + self.opts.margin;
+        let alive = |id: &&InstanceId| {
+            **id == self.me || self.asking.get(*id).is_some_and(|at| now.since(*at) < silence)
         };
-        self.roster
-            .deputies(&e.bucket)
-            .into_iter()
-            .find(alive)
-            .is_some_and(|d| d.member.id == self.me)
+        self.owners.get(&bucket).and_then(|ids| ids.iter().find(alive)) == Some(&self.me)
     }
 
-    fn yields(&self, bucket: &Bucket) -> bool {
-        self.held.get(bucket).is_some_and(|h| h.yielding)
+    fn yields(&self, bucket: Bucket) -> bool {
+        self.held.get(&bucket).is_some_and(|h| h.yielding)
     }
 
-    /// Takes in a granter's answer to what was asked at `asked`.
-    ///
-    /// `now` is when the answer came.
-    pub fn answered(
-        &mut self,
-        from: &InstanceId,
-        ask: &Ask,
-        asked: Tick,
-        verdict: &Verdict,
-        now: Tick,
-    ) {
-        if *verdict == Verdict::Granted && ask.stamp == self.roster.stamp() {
-            let gap = self.lease(&ask.bucket, now).share == Share::None;
-            let holding = self.held.entry(ask.bucket.clone()).or_default();
+    /// Takes in a granter's answer to a request.
+    pub fn answered(&mut self, from: &InstanceId, ask: &Ask, verdict: &Verdict, now: Tick) {
+        let late = self.given_back.get(&ask.bucket).is_some_and(|at| ask.at <= *at);
+        if *verdict == Verdict::Granted && ask.stamp == self.stamp && !late {
+            let gap = self.lease(ask.bucket, now).share == Share::None;
+            let holding = self.held.entry(ask.bucket).or_default();
             if gap {
                 holding.since = now;
             }
             let ack = holding.acks.entry(from.clone()).or_default();
-            *ack = asked.max(*ack);
+            *ack = ask.at.max(*ack);
         }
     }
 
     /// Returns what this instance may do for the upstreams of `bucket`.
-    pub fn lease(&self, bucket: &Bucket, now: Tick) -> Lease {
-        let Some(holding) = self.held.get(bucket) else { return Lease::default() };
-        if holding.yielding || self.leaving {
+    pub fn lease(&self, bucket: Bucket, now: Tick) -> Lease {
+        let Some(holding) = self.held.get(&bucket) else { return Lease::default() };
+        if holding.yielding || self.leaving || !self.roster.has(&self.me) {
             return Lease::default();
         }
-        let lease = self.under(&self.roster, holding, now);
-        match &self.former {
-            Some((former, until)) if *until > now => {
-                let old = self.under(former, holding, now);
-                if old.share <= lease.share { old } else { lease }
-            }
-            _ => lease,
+        let lease = self.under(&self.roster.entries, holding, now);
+        if self.roster.former.is_empty() {
+            return lease;
+        }
+        let former = self.under(&self.roster.former, holding, now);
+        Lease {
+            share: lease.share.min(former.share),
+            until: lease.until.min(former.until),
+            ..lease
         }
     }
 
-    fn under(&self, roster: &Roster, holding: &Holding, now: Tick) -> Lease {
+    fn under(&self, entries: &[Entry], holding: &Holding, now: Tick) -> Lease {
         let ack = |e: &Entry| holding.acks.get(&e.member.id).map(|at| *at + self.opts.hold);
-        let mut ends: Vec<Tick> =
-            roster.entries.iter().filter_map(ack).filter(|t| *t > now).collect();
-        ends.sort_unstable_by(|a, b| b.cmp(a));
-        let n = roster.entries.len();
+        let mut ends: Vec<Tick> = entries.iter().filter_map(ack).filter(|t| *t > now).collect();
+        ends.sort_unstable_by_key(|end| std::cmp::Reverse(*end));
+        let n = entries.len();
         if ends.len() * 2 > n {
             Lease { share: Share::All, until: ends[n / 2], since: holding.since }
         } else if n > 0 && ends.len() * 2 == n {
@@ -304,29 +325,32 @@
     /// Returns the buckets that this instance holds but should give back, once nothing runs there.
     pub fn to_release(&self) -> Vec<Bucket> {
         let gives = |h: &Holding| h.yielding || self.leaving;
-        self.held.iter().filter(|(_, h)| gives(h)).map(|(b, _)| b.clone()).collect()
+        self.held.iter().filter(|(_, h)| gives(h)).map(|(b, _)| *b).collect()
     }
 
-    /// Gives a bucket back; the caller tells the other members.
-    pub fn release(&mut self, bucket: &Bucket) {
-        self.held.shift_remove(bucket);
-        self.released(bucket, &self.me.clone());
+    /// Gives a bucket back; the caller tells the other members, with the time.
+    pub fn release(&mut self, bucket: Bucket, now: Tick) {
+        self.held.shift_remove(&bucket);
+        self.given_back.insert(bucket, now);
+        self.released(bucket, &self.me.clone(), now);
     }
 
-    /// Takes in that `holder` has given a bucket back: it may be granted at once.
-    pub fn released(&mut self, bucket: &Bucket, holder: &InstanceId) {
-        if self.grants.get(bucket).is_some_and(|g| g.holder == *holder) {
-            self.grants.shift_remove(bucket);
+    /// Takes in that `holder` gave a bucket back at `at` on its clock: it may be granted at once,
+    /// unless the holder has asked again since.
+    pub fn released(&mut self, bucket: Bucket, holder: &InstanceId, at: Tick) {
+        if self.grants.get(&bucket).is_some_and(|g| g.holder == *holder && g.asked <= at) {
+            self.grants.shift_remove(&bucket);
         }
+        self.asking.swap_remove(holder);
     }
 
     /// Returns the holder that this instance has granted `bucket` to.
-    pub fn granted_to(&self, bucket: &Bucket, now: Tick) -> Option<&InstanceId> {
-        self.grants.get(bucket).filter(|g| g.until > now).map(|g| &g.holder)
+    pub fn granted_to(&self, bucket: Bucket, now: Tick) -> Option<&InstanceId> {
+        self.grants.get(&bucket).filter(|g| g.until > now).map(|g| &g.holder)
     }
 
     /// Returns the buckets held now, with their leases.
     pub fn holdings(&self, now: Tick) -> Vec<(Bucket, Lease)> {
-        self.held.keys().map(|b| (b.clone(), self.lease(b, now))).collect()
+        self.held.keys().map(|b| (*b, self.lease(*b, now))).collect()
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,7 +26,9 @@
 pub use coordination::quantile::Quantile;
 pub use coordination::ramp::Ramp;
 pub use coordination::replica::{Candidate, expected_us, pick};
-pub use coordination::roster_change::{SILENT, bequeath, bury, join, leave, succeed};
+pub use coordination::roster_change::{
+    SILENT, Sightings, bequeath, bury, join, leave, settle_roster, succeed,
+};
 pub use coordination::snapshot::choose;
 pub use coordination::tickets::{
     Accepted, Change, Checked, Draft, Head, MOST_BYTES, moves_forward,
@@ -53,7 +55,7 @@
 pub use state::members::Rosters;
 pub use state::named::Named;
 pub use state::news::{Health, Heard, Held, News};
-pub use state::roster::{Bucket, Entry, InstanceId, Member, Roster};
+pub use state::roster::{BUCKETS, Bucket, Entry, InstanceId, Member, Roster};
 pub use state::sharded::{Sharded, ShardedArena};
 pub use state::ticket::{Remove, Ticket};
 pub use state::time::Tick;
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -5,11 +5,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::attempt::{Label, Outcome};
-use crate::coordination::leases::{Ask, Verdict};
+use crate::coordination::leases::Verdict;
 use crate::coordination::tickets::Head;
 use crate::state::members::Rosters;
 use crate::state::news::News;
 use crate::state::roster::{Bucket, InstanceId, Member};
+use crate::state::time::Tick;
 
 /// Version of the peer protocol; both ends must have the same.
 pub const VERSION: u32 = 1;
@@ -83,8 +84,12 @@
 pub struct Beat {
     /// Who sends it.
     pub from: Member,
-    /// Leases asked for or renewed; empty between failure domains.
-    pub asks: Vec<Ask>,
+    /// Buckets whose leases are asked for or renewed; none between failure domains.
+    pub asks: Vec<Bucket>,
+    /// Stamp of the roster of the sender's failure domain in use there.
+    pub stamp: u64,
+    /// When it was sent, on the sender's clock.
+    pub at: Tick,
     /// Version of the configuration in force at the sender.
     pub config: u64,
     /// Stamps of the sender's rosters.
@@ -100,6 +105,8 @@
     pub from: InstanceId,
     /// Answers to the requests, in their order.
     pub verdicts: Vec<Verdict>,
+    /// Stamp of the roster of this failure domain in use here.
+    pub stamp: u64,
     /// Version of the configuration in force here.
     pub config: u64,
     /// Rosters that differ here.
@@ -124,6 +131,8 @@
     pub bucket: Bucket,
     /// Who gives it back.
     pub holder: InstanceId,
+    /// When, on its clock.
+    pub at: Tick,
     /// The ramps of its upstreams.
     pub ramps: Vec<Ramped>,
 }
--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -24,10 +24,27 @@
     }
 }
 
+/// Buckets of a failure domain; upstreams keep their bucket whatever the members are.
+pub const BUCKETS: u16 = 64;
+
 /// A bucket of upstreams; whoever holds its lease is the steward of all of them.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[serde(transparent)]
-pub struct Bucket(pub String);
+pub struct Bucket(pub u16);
+
+impl Bucket {
+    /// Returns the bucket that an upstream is in.
+    pub fn of(upstream: &str) -> Self {
+        Bucket((hash::digest(upstream.as_bytes()) % u64::from(BUCKETS)) as u16)
+    }
+
+    /// Walks over all buckets.
+    pub fn all() -> impl Iterator<Item = Bucket> {
+        (0..BUCKETS).map(Bucket)
+    }
+}
 
 /// A member: one run of one instance and where peers reach it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -41,12 +58,12 @@
     pub addr: SocketAddr,
 }
 
-/// One entry of a roster: a bucket and the member that owns it.
+/// One entry of a roster.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Entry {
-    /// The bucket; it stays when the entry passes to another member.
-    pub bucket: Bucket,
+    /// Name of the entry; it stays when the entry passes to another member.
+    pub key: String,
     /// How often the entry has passed to another member.
     pub turn: u32,
     /// The member.
@@ -55,8 +72,11 @@
 
 /// The members of one failure domain, as one object of the platform.
 ///
-/// Between two versions an entry may pass from a member to the heir that it names itself; the
-/// higher turn of an entry wins, so rosters of one version merge in any order.
+/// A change of the members is made in two steps, as in the joint consensus of Ongaro and Ousterhout,
+/// "In search of an understandable consensus algorithm" (2014), section 6: at first the former
+/// entries bind as well, and once enough of them are known to have taken the change in, they are
+/// dropped. Between two versions an entry may pass from a member to the heir that it names itself;
+/// the higher turn of an entry wins, so rosters of one version merge in any order.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Roster {
@@ -64,6 +84,8 @@
     pub version: u64,
     /// The entries.
     pub entries: Vec<Entry>,
+    /// Entries before the last change, while they still bind.
+    pub former: Vec<Entry>,
 }
 
 impl Roster {
@@ -71,8 +93,8 @@
     pub fn stamp(&self) -> u64 {
         let mut hash = Xxh3::new();
         hash.update(&self.version.to_le_bytes());
-        for e in &self.entries {
-            hash.update(e.bucket.0.as_bytes());
+        for e in self.entries.iter().chain(&self.former) {
+            hash.update(e.key.as_bytes());
             hash.update(&e.turn.to_le_bytes());
             hash.update(e.member.id.0.as_bytes());
         }
@@ -91,10 +113,10 @@
 
     fn keep_turns(&mut self, other: &Roster) -> bool {
         let mut changed = false;
-        for e in &mut self.entries {
+        for e in self.entries.iter_mut().chain(&mut self.former) {
             let rank = (e.turn, &e.member.id);
-            let newer = |o: &&Entry| o.bucket == e.bucket && (o.turn, &o.member.id) > rank;
-            if let Some(o) = other.entries.iter().find(newer) {
+            let newer = |o: &&Entry| o.key == e.key && (o.turn, &o.member.id) > rank;
+            if let Some(o) = other.entries.iter().chain(&other.former).find(newer) {
                 *e = o.clone();
                 changed = true;
             }
@@ -112,28 +134,16 @@
         self.entries.iter().find(|e| e.member.id == *id)
     }
 
-    /// Returns the entry of a bucket.
-    pub fn entry(&self, bucket: &Bucket) -> Option<&Entry> {
-        self.entries.iter().find(|e| e.bucket == *bucket)
-    }
-
     /// Returns the entries in their order for `item`.
     pub fn order(&self, item: &str) -> Vec<&Entry> {
         let mut weighed: Vec<_> =
-            self.entries.iter().map(|e| (hash::weight(item, &e.bucket.0), e)).collect();
+            self.entries.iter().map(|e| (hash::weight(item, &e.key), e)).collect();
         weighed.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
         weighed.into_iter().map(|(_, e)| e).collect()
     }
 
-    /// Returns the entries that stand in for the owner of `bucket`, in their order.
-    pub fn deputies(&self, bucket: &Bucket) -> Vec<&Entry> {
-        let mut order = self.order(&bucket.0);
-        order.retain(|e| e.bucket != *bucket);
-        order
-    }
-
-    /// Returns the bucket that an upstream is in.
-    pub fn bucket_of(&self, upstream: &str) -> Option<&Bucket> {
-        self.entries.iter().map(|e| &e.bucket).max_by_key(|b| hash::weight(upstream, &b.0))
+    /// Returns the entries in their order for a bucket: its owner, then those that stand in.
+    pub fn owners(&self, bucket: Bucket) -> Vec<&Entry> {
+        self.order(&bucket.0.to_string())
     }
 }
--- a/src/transport/beats.rs
+++ b/src/transport/beats.rs
@@ -28,7 +28,7 @@
 /// Approximate bytes of a heartbeat without its lists, for the count of control bytes.
 const BEAT_BYTES: u64 = 160;
 /// Approximate bytes of one request for a lease.
-const ASK_BYTES: u64 = 60;
+const ASK_BYTES: u64 = 2;
 
 /// Sends heartbeats until the process ends.
 pub(crate) async fn run(node: Arc<Node>) {
@@ -59,7 +59,7 @@
     let mut leases = node.leases.lock();
     for ask in asks {
         let verdict = leases.grant(ask, now);
-        leases.answered(&node.me.id, ask, now, &verdict, now);
+        leases.answered(&node.me.id, ask, &verdict, now);
     }
 }
 
@@ -110,12 +110,18 @@
 async fn beat(node: Arc<Node>, addr: SocketAddr, asks: Vec<Ask>) {
     let Ok(link) = node.link(addr).await else { return };
     let rosters = node.rosters().stamps();
+    let (stamp, member) = {
+        let leases = node.leases.lock();
+        (leases.roster().stamp(), leases.roster().has(&node.me.id))
+    };
+    let waiting = !member && *node.phase.read() != Phase::Leaving;
     let beat = Beat {
         from: node.me.clone(),
-        asks: asks.clone(),
+        asks: asks.iter().map(|ask| ask.bucket).collect(),
+        stamp,
+        at: asks.first().map_or(node.now(), |ask| ask.at),
         config: node.catalog().version(),
-        waiting: !node.leases.lock().roster().has(&node.me.id)
-            && *node.phase.read() != Phase::Leaving,
+        waiting,
         rosters,
     };
     node.metrics.control_calls.with_label_values(&["beat"]).inc();
@@ -124,23 +130,18 @@
     let reply = link.client.beat(context_for(TIMEOUT), beat).await;
     if let Ok(reply) = reply {
         link.heard(Some(node.now().since(asked)));
-        take_reply(&node, &link.client, &asks, asked, reply).await;
+        take_reply(&node, &link.client, &asks, reply).await;
     }
 }
 
-async fn take_reply(
-    node: &Arc<Node>,
-    peer: &PeerClient,
-    asks: &[Ask],
-    asked: crate::state::time::Tick,
-    reply: BeatReply,
-) {
+async fn take_reply(node: &Arc<Node>, peer: &PeerClient, asks: &[Ask], reply: BeatReply) {
     let now = node.now();
-    node.heard.lock().insert(reply.from.clone(), now);
+    node.seen.lock().heard(&reply.from, now);
     {
         let mut leases = node.leases.lock();
+        leases.heard(&reply.from, reply.stamp, now);
         for (ask, verdict) in asks.iter().zip(&reply.verdicts) {
-            leases.answered(&reply.from, ask, asked, verdict, now);
+            leases.answered(&reply.from, ask, verdict, now);
         }
     }
     node.take_rosters(&reply.rosters);
@@ -156,24 +157,39 @@
 /// Answers a heartbeat.
 pub(crate) fn take_beat(node: &Arc<Node>, beat: Beat) -> BeatReply {
     let now = node.now();
-    node.heard.lock().insert(beat.from.id.clone(), now);
+    node.seen.lock().heard(&beat.from.id, now);
     if beat.waiting {
         node.waiting.lock().insert(beat.from.id.clone(), (beat.from.clone(), now));
     }
-    let mut leases = node.leases.lock();
-    let verdicts: Vec<Verdict> = beat.asks.iter().map(|ask| leases.grant(ask, now)).collect();
-    drop(leases);
+    let (verdicts, stamp) = grant_all(node, &beat);
     if beat.config > node.catalog().version() {
         tokio::spawn(fetch_from(node.clone(), beat.from.addr));
     }
     BeatReply {
         from: node.me.id.clone(),
         verdicts,
+        stamp,
         config: node.catalog().version(),
         rosters: node.rosters().other_than(&beat.rosters),
     }
 }
 
+fn grant_all(node: &Node, beat: &Beat) -> (Vec<Verdict>, u64) {
+    let now = node.now();
+    let mut leases = node.leases.lock();
+    if beat.from.domain == node.cfg.domain {
+        leases.heard(&beat.from.id, beat.stamp, now);
+    }
+    let ask = |bucket: &Bucket| Ask {
+        bucket: *bucket,
+        holder: beat.from.id.clone(),
+        stamp: beat.stamp,
+        at: beat.at,
+    };
+    let verdicts = beat.asks.iter().map(|b| leases.grant(&ask(b), now)).collect();
+    (verdicts, leases.roster().stamp())
+}
+
 async fn fetch_from(node: Arc<Node>, addr: SocketAddr) {
     let Some(peer) = node.peer(addr).await else { return };
     let have = node.catalog().version();
@@ -234,10 +250,10 @@
     let buckets = node.leases.lock().to_release();
     let mut releases = Vec::new();
     for bucket in buckets {
-        if let Some(ramps) = ramps_of(node, &bucket) {
-            node.leases.lock().release(&bucket);
-            log::info!("bucket {} given back", bucket.0);
-            releases.push(Release { bucket, holder: node.me.id.clone(), ramps });
+        if let Some(ramps) = ramps_of(node, bucket) {
+            let at = node.now();
+            node.leases.lock().release(bucket, at);
+            releases.push(Release { bucket, holder: node.me.id.clone(), at, ramps });
         }
     }
     if releases.is_empty() {
@@ -252,10 +268,14 @@
 }
 
 /// Returns the ramps of a bucket's upstreams, or nothing while a request runs at one of them.
-fn ramps_of(node: &Node, bucket: &Bucket) -> Option<Vec<Ramped>> {
+fn ramps_of(node: &Node, bucket: Bucket) -> Option<Vec<Ramped>> {
     let catalog = node.catalog();
     let mut ramps = Vec::new();
-    for (key, _) in node.owners().iter().filter(|(_, o)| o.bucket == *bucket) {
+    for (key, _) in node
+        .owners()
+        .iter()
+        .filter(|(_, o)| o.bucket == bucket && o.member.domain == node.cfg.domain)
+    {
         let Some(up) = catalog.upstream(*key) else { continue };
         let state = node.gates.with(*key, |gate| (gate.running(), gate.handover()));
         if let Some((running, (answered, boot))) = state {
@@ -272,8 +292,8 @@
 pub(crate) fn take_release(node: &Arc<Node>, releases: Vec<Release>) {
     let now = node.now();
     for release in releases {
-        node.leases.lock().released(&release.bucket, &release.holder);
-        node.holders.lock().shift_remove(&release.bucket);
+        node.leases.lock().released(release.bucket, &release.holder, release.at);
+        node.holders.lock().shift_remove(&(node.cfg.domain.clone(), release.bucket));
         let mut ramps = node.ramps.lock();
         for ramp in release.ramps {
             ramps.insert(ramp.upstream.clone(), (ramp, now));
--- a/src/transport/choices.rs
+++ b/src/transport/choices.rs
@@ -9,7 +9,7 @@
 use crate::state::arena::{ServiceKey, UpstreamKey};
 use crate::state::catalog::{Catalog, ServiceEntry};
 use crate::state::time::Tick;
-use crate::transport::node::{Node, ServiceStats};
+use crate::transport::node::{Node, Owner, ServiceStats};
 use crate::transport::settings::Mode;
 
 /// Share of answers that come before an attempt is hedged.
@@ -43,15 +43,15 @@
                 let (up, rtt) = self.node.links.state(owner.member.addr);
                 let far = owner.member.domain != self.node.cfg.domain;
                 let delay = if far { self.node.cfg.peer_delay * 2 } else { Duration::ZERO };
-                (up || self.has_deputy(&owner.bucket), rtt + delay)
+                (up || self.has_deputy(&owner), rtt + delay)
             }
             None => (false, Duration::ZERO),
         };
         Candidate { key, heard, hop, open: open_now && reach }
     }
 
-    fn has_deputy(&self, bucket: &crate::state::roster::Bucket) -> bool {
-        self.node.holders.lock().contains_key(bucket)
+    fn has_deputy(&self, owner: &Owner) -> bool {
+        self.node.holders.lock().contains_key(&owner.place())
     }
 }
 
--- a/src/transport/dispatch.rs
+++ b/src/transport/dispatch.rs
@@ -95,7 +95,7 @@
             }
             _ => {
                 if asked.len() > 1 {
-                    node.holders.lock().insert(owner.bucket.clone(), member.id);
+                    node.holders.lock().insert(owner.place(), member.id);
                 }
                 return last;
             }
@@ -108,10 +108,10 @@
 fn next_member(node: &Node, owner: &Owner, last: &WorkReply, asked: &[Member]) -> Option<Member> {
     let rosters = node.rosters();
     let roster = rosters.get(&owner.member.domain)?;
-    let known = node.holders.lock().get(&owner.bucket).cloned();
+    let known = node.holders.lock().get(&owner.place()).cloned();
     let named = [last.holder.clone(), known].into_iter().flatten();
     let named = named.filter_map(|id| roster.entry_of(&id));
-    let order = named.chain(roster.entry(&owner.bucket)).chain(roster.deputies(&owner.bucket));
+    let order = named.chain(roster.owners(owner.bucket));
     let fresh = |m: &&Member| !asked.iter().any(|a| a.id == m.id);
     order.map(|e| &e.member).find(fresh).cloned()
 }
@@ -120,10 +120,10 @@
     let mut holders = node.holders.lock();
     match &reply.holder {
         Some(holder) => {
-            holders.insert(owner.bucket.clone(), holder.clone());
+            holders.insert(owner.place(), holder.clone());
         }
-        None if holders.get(&owner.bucket) == Some(&asked.id) => {
-            holders.shift_remove(&owner.bucket);
+        None if holders.get(&owner.place()) == Some(&asked.id) => {
+            holders.shift_remove(&owner.place());
         }
         None => {}
     }
--- a/src/transport/entry.rs
+++ b/src/transport/entry.rs
@@ -259,7 +259,7 @@
             continue;
         }
         let rosters = node.rosters();
-        let holder = node.holders.lock().get(&owner.bucket).cloned();
+        let holder = node.holders.lock().get(&owner.place()).cloned();
         let entry = holder.and_then(|h| rosters.get(&owner.member.domain)?.entry_of(&h).cloned());
         let addr = entry.map_or(owner.member.addr, |e| e.member.addr);
         let names = asks.entry(addr).or_default();
--- a/src/transport/membership.rs
+++ b/src/transport/membership.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use crate::coordination::once::Written;
-use crate::coordination::roster_change::{bequeath, bury, join, leave, succeed};
+use crate::coordination::roster_change::{bequeath, bury, join, leave, settle_roster, succeed};
 use crate::protocol::platform::roster_key;
 use crate::state::members::Rosters;
-use crate::state::roster::{InstanceId, Roster};
+use crate::state::roster::Roster;
 use crate::transport::beats;
 use crate::transport::node::{Node, Phase};
-use crate::transport::watches::parse_roster;
+use crate::transport::watches::{parse_roster, watches};
 
 /// Time between tries to join.
 const TRY: Duration = Duration::from_millis(300);
@@ -23,6 +23,8 @@
         let member = node.leases.lock().roster().has(&node.me.id);
         if !member && *node.phase.read() != Phase::Leaving {
             try_join(&node).await;
+        } else {
+            try_settle(&node).await;
         }
         tokio::time::sleep(TRY).await;
     }
@@ -40,7 +42,7 @@
     }
     match read {
         Ok(_) => {
-            if let Some(next) = join(&known, &node.me, &answering(node)) {
+            if let Some(next) = join(&known, &node.me) {
                 write_roster(node, next).await;
             }
         }
@@ -53,10 +55,17 @@
     }
 }
 
-fn answering(node: &Node) -> Vec<InstanceId> {
-    let now = node.now();
-    let heard = node.heard.lock();
-    heard.iter().filter(|(_, at)| now.since(**at) < HEARD).map(|(id, _)| id.clone()).collect()
+/// Ends a change of the roster, once enough members have taken it in.
+async fn try_settle(node: &Arc<Node>) {
+    let next = {
+        let leases = node.leases.lock();
+        settle_roster(leases.roster(), &leases.adopted(node.now()))
+    };
+    if let Some(next) = next
+        && watches(node)
+    {
+        write_roster(node, next).await;
+    }
 }
 
 async fn read_roster(node: &Node) -> Result<Roster, ()> {
@@ -99,11 +108,10 @@
 pub(crate) async fn bury_dead(node: &Arc<Node>, listed: &[String]) {
     let known = node.rosters().get(&node.cfg.domain).cloned().unwrap_or_default();
     let next = {
-        let heard = node.heard.lock();
-        let last = |id: &InstanceId| {
-            if *id == node.me.id { node.now() } else { heard.get(id).copied().unwrap_or_default() }
-        };
-        bury(&known, listed, last, node.now())
+        let (mut seen, now) = (node.seen.lock(), node.now());
+        seen.heard(&node.me.id, now);
+        seen.listed(&known, listed, now);
+        bury(&known, &seen, now)
     };
     if let Some(next) = next {
         write_roster(node, next).await;
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -15,6 +15,7 @@
 use crate::coordination::budget::Budget;
 use crate::coordination::leases::{Lease, Leases, Share};
 use crate::coordination::quantile::Quantile;
+use crate::coordination::roster_change::Sightings;
 use crate::coordination::tickets::{Head, moves_forward};
 use crate::protocol::peer::{Hello, PeerClient, Ramped, VERSION};
 use crate::protocol::platform::Platform;
@@ -52,6 +53,13 @@
     pub(crate) member: Member,
 }
 
+impl Owner {
+    /// Returns the bucket with its failure domain.
+    pub(crate) fn place(&self) -> (String, Bucket) {
+        (self.member.domain.clone(), self.bucket)
+    }
+}
+
 /// What this instance has learnt of a service.
 #[derive(Default)]
 pub(crate) struct ServiceStats {
@@ -84,8 +92,8 @@
     pub(crate) held_epoch: AtomicU64,
     pub(crate) stats: Sharded<ServiceKey, ServiceStats>,
     pub(crate) ramps: Mutex<IndexMap<String, (Ramped, Tick)>>,
-    pub(crate) holders: Mutex<IndexMap<Bucket, InstanceId>>,
-    pub(crate) heard: Mutex<IndexMap<InstanceId, Tick>>,
+    pub(crate) holders: Mutex<IndexMap<(String, Bucket), InstanceId>>,
+    pub(crate) seen: Mutex<Sightings>,
     pub(crate) waiting: Mutex<IndexMap<InstanceId, (Member, Tick)>>,
     pub(crate) listed: Mutex<Vec<Member>>,
     pub(crate) platform_ok: Mutex<Option<Tick>>,
@@ -122,7 +130,7 @@
             stats: Sharded::default(),
             ramps: Mutex::default(),
             holders: Mutex::default(),
-            heard: Mutex::default(),
+            seen: Mutex::default(),
             waiting: Mutex::default(),
             listed: Mutex::default(),
             platform_ok: Mutex::default(),
@@ -224,9 +232,9 @@
         let (catalog, rosters) = (self.catalog(), self.rosters());
         let owner = |(key, up): (UpstreamKey, &crate::state::catalog::UpstreamEntry)| {
             let roster = rosters.get(&up.domain)?;
-            let bucket = roster.bucket_of(&up.name)?;
-            let member = roster.entry(bucket)?.member.clone();
-            Some((key, Owner { bucket: bucket.clone(), member }))
+            let bucket = Bucket::of(&up.name);
+            let member = roster.owners(bucket).first()?.member.clone();
+            Some((key, Owner { bucket, member }))
         };
         let owners = catalog.upstreams().filter_map(owner).collect();
         *self.owners.write() = Arc::new(owners);
@@ -251,7 +259,11 @@
             };
         }
         let owners = self.owners.read();
-        owners.get(&key).map(|o| self.leases.lock().lease(&o.bucket, now)).unwrap_or_default()
+        owners
+            .get(&key)
+            .filter(|o| o.member.domain == self.cfg.domain)
+            .map(|o| self.leases.lock().lease(o.bucket, now))
+            .unwrap_or_default()
     }
 
     /// Brings a gate in line with the lease; a ramp that was handed over goes on.
--- a/src/transport/operate.rs
+++ b/src/transport/operate.rs
@@ -6,6 +6,7 @@
 
 use anyhow::{Context, Result, anyhow};
 
+use crate::coordination::leases::Share;
 use crate::coordination::tickets::{Change, Head};
 use crate::protocol::dump::Dump;
 use crate::state::fleet::{Domain, Fleet};
@@ -261,19 +262,19 @@
 }
 
 fn status_line(d: &Dump) -> String {
-    let held: Vec<_> = d
-        .buckets
-        .iter()
-        .map(|b| format!("{} ({:?}, {} upstreams)", b.bucket.0, b.share, b.upstreams.len()))
-        .collect();
+    let count = |share| {
+        let of = d.buckets.iter().filter(move |b| b.share == share);
+        of.map(|b| b.upstreams.len()).sum::<usize>()
+    };
     format!(
-        "{}  {}  {}  version {}  in flight {}  platform {}  steward of {}",
+        "{}  {}  {}  version {}  in flight {}  platform {}  steward of {} upstreams, of {} with half of the slots",
         d.instance.0,
         d.domain,
         d.phase,
         d.config,
         d.flights,
         if d.platform { "answers" } else { "unknown" },
-        if held.is_empty() { "nothing".into() } else { held.join(", ") }
+        count(Share::All) + count(Share::Half),
+        count(Share::Half)
     )
 }
--- a/src/transport/operator_http.rs
+++ b/src/transport/operator_http.rs
@@ -97,7 +97,7 @@
     let owners = node.owners();
     let holdings = node.leases.lock().holdings(now);
     let buckets = holdings.into_iter().map(|(bucket, lease)| {
-        let of = owners.iter().filter(|(_, o)| o.bucket == bucket);
+        let of = owners.iter().filter(|(_, o)| o.place() == (node.cfg.domain.clone(), bucket));
         let upstreams = of.filter_map(|(k, _)| Some(catalog.upstream(*k)?.name.clone())).collect();
         let left_ms = lease.until.since(now).as_millis() as u64;
         BucketDump { bucket, share: lease.share, left_ms, upstreams }
--- a/src/transport/steward.rs
+++ b/src/transport/steward.rs
@@ -111,7 +111,7 @@
 fn elsewhere(node: &Node, key: UpstreamKey, outcome: Outcome) -> WorkReply {
     let now = node.now();
     let owner = node.owner(key);
-    let holder = owner.and_then(|o| node.leases.lock().granted_to(&o.bucket, now).cloned());
+    let holder = owner.and_then(|o| node.leases.lock().granted_to(o.bucket, now).cloned());
     WorkReply { outcome, news: None, holder: holder.filter(|h| *h != node.me.id) }
 }
 
--- a/src/transport/watches.rs
+++ b/src/transport/watches.rs
@@ -28,8 +28,8 @@
         return true;
     }
     let (now, rosters) = (node.now(), node.rosters());
-    let heard = node.heard.lock();
-    let alive = |id: &InstanceId| heard.get(id).is_some_and(|at| now.since(*at) < HEARD);
+    let seen = node.seen.lock();
+    let alive = |id: &InstanceId| seen.heard_within(id, HEARD, now);
     let Some(roster) = rosters.get(&node.cfg.domain) else { return true };
     let order = roster.order("watch");
     let first = order.into_iter().map(|e| &e.member.id).find(|id| **id == node.me.id || alive(id));
--- a/tests/layers.rs
+++ b/tests/layers.rs
@@ -24,7 +24,10 @@
     Case { layer: "state", forbidden: IO },
     Case { layer: "state", forbidden: &["crate::coordination", "serde_json"] },
     Case { layer: "coordination", forbidden: IO },
-    Case { layer: "protocol", forbidden: &["crate::transport", "tokio::net", "tokio::spawn", "Instant::now"] },
+    Case {
+        layer: "protocol",
+        forbidden: &["crate::transport", "tokio::net", "tokio::spawn", "Instant::now"],
+    },
 ];
 
 fn files(dir: &Path) -> Vec<PathBuf> {
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -2,15 +2,13 @@
 
 mod support;
 
-use std::collections::BTreeMap;
-use std::time::Duration;
-
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use std::collections::BTreeMap;
 use support::{ms, seeds};
 use tamarackdeck::{
-    Ask, Bucket, Entry, InstanceId, LeaseOptions, Leases, Member, Roster, Share, Tick, Verdict, bequeath, bury,
-    join, leave, succeed,
+    Ask, Bucket, Entry, InstanceId, LeaseOptions, Leases, Member, Roster, Share, Sightings, Tick,
+    Verdict, bequeath, bury, join, leave, settle_roster, succeed,
 };
 
 fn member(name: &str, boot: u32) -> Member {
@@ -19,8 +17,8 @@
 }
 
 fn roster(version: u64, members: &[Member]) -> Roster {
-    let entry = |m: &Member| Entry { bucket: Bucket(m.id.0.clone()), turn: 0, member: m.clone() };
-    Roster { version, entries: members.iter().map(entry).collect() }
+    let entry = |m: &Member| Entry { key: m.id.0.clone(), turn: 0, member: m.clone() };
+    Roster { version, entries: members.iter().map(entry).collect(), former: Vec::new() }
 }
 
 struct ShareCase {
@@ -48,14 +46,19 @@
         let roster = roster(1, &members);
         let mut leases = Leases::new(members[0].id.clone(), LeaseOptions::default(), Tick(0));
         leases.set_roster(roster.clone(), Tick(0));
-        let bucket = Bucket(members[0].id.0.clone());
-        let ask = Ask { bucket: bucket.clone(), holder: members[0].id.clone(), stamp: roster.stamp() };
+        let bucket = Bucket(7);
+        let ask = Ask { bucket, holder: members[0].id.clone(), stamp: roster.stamp(), at: ms(100) };
         for granter in &members[..case.granting] {
-            leases.answered(&granter.id, &ask, ms(100), &Verdict::Granted, ms(150));
+            leases.answered(&granter.id, &ask, &Verdict::Granted, ms(150));
         }
-        assert_eq!(leases.lease(&bucket, ms(200)).share, case.share, "{}", case.name);
+        assert_eq!(leases.lease(bucket, ms(200)).share, case.share, "{}", case.name);
         let hold = LeaseOptions::default().hold;
-        assert_eq!(leases.lease(&bucket, ms(100) + hold).share, Share::None, "{}: counted from the asking", case.name);
+        assert_eq!(
+            leases.lease(bucket, ms(100) + hold).share,
+            Share::None,
+            "{}: counted from the asking",
+            case.name
+        );
     }
 }
 
@@ -68,7 +71,7 @@
     clock: (u64, u64),
     paused_until: u64,
     cut_off: bool,
-    heard: BTreeMap<InstanceId, Tick>,
+    seen: Sightings,
     leaving: bool,
 }
 
@@ -85,9 +88,9 @@
 }
 
 enum Message {
-    Ask { to: InstanceId, from: InstanceId, ask: Ask, asked: Tick },
-    Reply { to: InstanceId, from: InstanceId, ask: Ask, asked: Tick, verdict: Verdict, roster: Roster },
-    Release { to: InstanceId, bucket: Bucket, holder: InstanceId },
+    Ask { to: InstanceId, from: InstanceId, ask: Ask },
+    Reply { to: InstanceId, from: InstanceId, ask: Ask, verdict: Verdict, roster: Roster },
+    Release { to: InstanceId, bucket: Bucket, holder: InstanceId, at: Tick },
 }
 
 /// A failure domain: instances, messages under way, and the platform's roster object.
@@ -106,6 +109,8 @@
 }
 
 const STEP_US: u64 = 20_000;
+/// Buckets that the run follows.
+const WATCHED: u16 = 4;
 
 impl World {
     fn new(seed: u64) -> Self {
@@ -148,7 +153,7 @@
             clock,
             paused_until: 0,
             cut_off: false,
-            heard: BTreeMap::new(),
+            seen: Sightings::default(),
             leaving: false,
             member: member.clone(),
         };
@@ -241,27 +246,29 @@
     fn handle(&mut self, message: Message) {
         let time = self.time;
         match message {
-            Message::Ask { to, from, ask, asked } => {
+            Message::Ask { to, from, ask } => {
                 if !self.reaches(&to, &from) || self.nodes[&to].paused_until > time {
                     return;
                 }
                 let node = self.nodes.get_mut(&to).unwrap();
                 let now = node.now(time);
-                node.heard.insert(from.clone(), now);
+                node.seen.heard(&from, now);
+                node.leases.heard(&from, ask.stamp, now);
                 let verdict = node.leases.grant(&ask, now);
                 let roster = node.roster.clone();
-                self.send(Message::Reply { to: from, from: to, ask, asked, verdict, roster });
+                self.send(Message::Reply { to: from, from: to, ask, verdict, roster });
             }
-            Message::Reply { to, from, ask, asked, verdict, roster } => {
+            Message::Reply { to, from, ask, verdict, roster } => {
                 let Some(node) = self.nodes.get_mut(&to) else { return };
                 let now = node.now(time);
-                node.leases.answered(&from, &ask, asked, &verdict, now);
-                node.heard.insert(from, now);
+                node.leases.heard(&from, roster.stamp(), now);
+                node.leases.answered(&from, &ask, &verdict, now);
+                node.seen.heard(&from, now);
                 node.take(&roster, time);
             }
-            Message::Release { to, bucket, holder } => {
+            Message::Release { to, bucket, holder, at } => {
                 if let Some(node) = self.nodes.get_mut(&to) {
-                    node.leases.released(&bucket, &holder);
+                    node.leases.released(bucket, &holder, at);
                 }
             }
         }
@@ -282,18 +289,20 @@
     fn beat(&mut self, id: &InstanceId) {
         let node = self.nodes.get_mut(id).unwrap();
         let now = node.now(self.time);
-        let asks = node.leases.asks(now);
+        let asks: Vec<_> =
+            node.leases.asks(now).into_iter().filter(|a| a.bucket.0 < WATCHED).collect();
         for ask in &asks {
             let verdict = node.leases.grant(ask, now);
-            node.leases.answered(id, ask, now, &verdict, now);
+            node.leases.answered(id, ask, &verdict, now);
         }
         // a beat without a request still compares rosters
-        let news = Ask { bucket: Bucket::default(), holder: id.clone(), stamp: 0 };
+        let stamp = node.roster.stamp();
+        let news = Ask { bucket: Bucket(u16::MAX), holder: id.clone(), stamp, at: now };
         let others: Vec<_> = self.nodes.keys().filter(|o| *o != id).cloned().collect();
         for other in others {
             for ask in asks.iter().chain([&news]) {
                 let (to, from, ask) = (other.clone(), id.clone(), ask.clone());
-                self.send(Message::Ask { to, from, ask, asked: now });
+                self.send(Message::Ask { to, from, ask });
             }
         }
     }
@@ -310,24 +319,17 @@
         }
         let now = node.now(time);
         let known = node.roster.clone();
-        let silent = |other: &InstanceId| {
-            if other == id { now } else { node.heard.get(other).copied().unwrap_or_default() }
-        };
-        let answered: Vec<_> =
-            node.heard.iter().filter(|(_, at)| now.since(**at) < Duration::from_millis(1_500)).map(|(i, _)| i.clone()).collect();
         let old_enough = now >= node.leases.joins_from() || known.entries.is_empty();
-        let next = if node.leaving {
-            platform_reached.then(|| leave(&known, id)).flatten()
-        } else if !known.has(id) {
-            match platform_reached {
-                true if old_enough => join(&known, &node.member, &answered),
-                false if old_enough => succeed(&known, &node.member),
-                _ => None,
-            }
-        } else if platform_reached {
-            bury(&known, &names, silent, now)
-        } else {
-            None
+        node.seen.heard(id, now);
+        node.seen.listed(&known, &names, now);
+        let buried = bury(&known, &node.seen, now).filter(|_| platform_reached);
+        let next = match (platform_reached, known.has(id)) {
+            (true, _) if node.leaving => leave(&known, id),
+            (_, _) if node.leaving => None,
+            (true, true) => settle_roster(&known, &node.leases.adopted(now)).or(buried),
+            (true, false) if old_enough => buried.or_else(|| join(&known, &node.member)),
+            (false, false) if old_enough => succeed(&known, &node.member),
+            _ => None,
         };
         if let Some(next) = next {
             self.put(id, next, platform_reached);
@@ -345,7 +347,12 @@
             self.platform = next.clone();
         }
         let members: Vec<_> = next.entries.iter().map(|e| e.member.id.0.clone()).collect();
-        self.note(format!("{} sets roster {}: {members:?}", id.0, next.version));
+        self.note(format!(
+            "{} sets roster {}: {members:?} after {}",
+            id.0,
+            next.version,
+            next.former.len()
+        ));
         let time = self.time;
         self.nodes.get_mut(id).unwrap().take(&next, time);
     }
@@ -356,8 +363,12 @@
         if !node.leases.to_release().is_empty() || node.paused_until > self.time {
             return;
         }
-        let heir = self.nodes.values().find(|n| !n.roster.has(&n.member.id) && !n.leaving && self.reaches(id, &n.member.id));
-        let next = heir.and_then(|h| Some((h.member.id.clone(), bequeath(&node.roster, id, &h.member)?)));
+        let heir = self
+            .nodes
+            .values()
+            .find(|n| !n.roster.has(&n.member.id) && !n.leaving && self.reaches(id, &n.member.id));
+        let next =
+            heir.and_then(|h| Some((h.member.id.clone(), bequeath(&node.roster, id, &h.member)?)));
         self.note(format!("{} has ended", id.0));
         if let Some((heir, next)) = next {
             self.note(format!("its entry passes to {}", heir.0));
@@ -370,10 +381,12 @@
     fn give_back(&mut self, id: &InstanceId) {
         let Some(node) = self.nodes.get_mut(id) else { return };
         for bucket in node.leases.to_release() {
-            self.nodes.get_mut(id).unwrap().leases.release(&bucket);
+            let node = self.nodes.get_mut(id).unwrap();
+            let at = node.now(self.time);
+            node.leases.release(bucket, at);
             for to in self.nodes.keys().cloned().collect::<Vec<_>>() {
-                let (bucket, holder) = (bucket.clone(), id.clone());
-                self.send(Message::Release { to, bucket, holder });
+                let (bucket, holder) = (bucket, id.clone());
+                self.send(Message::Release { to, bucket, holder, at });
             }
         }
     }
@@ -395,15 +408,24 @@
     }
 }
 
+/// Steps of one run: 400 seconds of one failure domain.
+const STEPS: u64 = 20_000;
+
 #[test]
 fn two_holders_never_have_more_than_all() {
-    for seed in seeds(60) {
+    let (seeds, mut served) = (seeds(60), 0);
+    for seed in &seeds {
         let run = std::panic::catch_unwind(|| {
-            let mut world = World::new(seed);
-            (0..20_000).for_each(|_| world.step());
+            let mut world = World::new(*seed);
+            (0..STEPS).for_each(|_| world.step());
+            if std::env::var("TRACE").is_ok() {
+                println!("{}", world.trace.join("\n"));
+            }
             world.served
         });
-        let served = run.unwrap_or_else(|_| panic!("seed {seed}; replay with SEEDS={seed}"));
-        println!("seed {seed}: {served}");
+        served += run.unwrap_or_else(|_| panic!("seed {seed}; replay with SEEDS={seed}"));
     }
+    // a run in which nobody serves would prove nothing
+    let most = seeds.len() as u64 * STEPS * u64::from(WATCHED);
+    assert!(served * 2 > most, "full service in {served} of {most} steps");
 }
