--- a/src/coordination/ramp.rs
+++ b/src/coordination/ramp.rs
@@ -17,9 +17,9 @@
 }
 
 impl Ramp {
-    /// Returns a ramp at its foot.
+    /// Returns a ramp at its foot; a former steward may have sent a request just now.
     pub fn cold(now: Tick) -> Self {
-        Self { answered: 0, tokens: BURST, at: now }
+        Self { answered: 0, tokens: 0.0, at: now }
     }
 
     /// Returns a ramp that goes on where a former steward was.
