--- a/src/transport/settings.rs
+++ b/src/transport/settings.rs
@@ -125,10 +125,9 @@
     take: fn(&mut Settings, &str) -> Result<(), String>,
 }
 
-impl Setting {
-    fn variable(&self) -> String {
-        format!("TAMARACK_{}", self.flag.to_uppercase().replace('-', "_"))
-    }
+/// Returns the environment variable that stands for a flag.
+fn variable(flag: &str) -> String {
+    format!("TAMARACK_{}", flag.to_uppercase().replace('-', "_"))
 }
 
 fn parse<T: std::str::FromStr>(slot: &mut T, s: &str, want: &str) -> Result<(), String> {
@@ -331,7 +330,7 @@
         }
         let mut cfg = Settings::default();
         for setting in SETTINGS.iter().chain(HIDDEN) {
-            let variable = setting.variable();
+            let variable = variable(setting.flag);
             let (place, value) = match given.get(setting.flag) {
                 Some(value) => (format!("--{}", setting.flag), value.clone()),
                 None => match env(&variable) {
@@ -349,13 +348,11 @@
     }
 
     fn check(&self, findings: &mut Findings) {
-        let required = [("instance", &self.instance), ("domain", &self.domain)];
-        for (flag, value) in required {
-            findings.require(
-                !value.is_empty() || findings.0.iter().any(|f| f.place.ends_with(flag)),
-                format!("--{flag}"),
-                "is required",
-            );
+        for (flag, value) in [("instance", &self.instance), ("domain", &self.domain)] {
+            let place = format!("--{flag}");
+            let variable = variable(flag);
+            let found = findings.0.iter().any(|f| f.place == place || f.place == variable);
+            findings.require(found || !value.is_empty(), place, "is required");
         }
         let ports =
             [("callers", self.callers), ("peers", self.peers), ("operators", self.operators)];
@@ -387,7 +384,7 @@
         );
         for s in SETTINGS {
             let head = format!("--{} {}", s.flag, s.value);
-            text += &format!("  {head:<24} {} [{}]\n", s.help, s.variable());
+            text += &format!("  {head:<24} {} [{}]\n", s.help, variable(s.flag));
         }
         text += "  --check                  check the settings and exit\n";
         text += "  --help                   print this text and exit\n";
--- /dev/null
+++ b/tests/decoders.rs
@@ -0,0 +1,113 @@
+//! Decoders of caller, peer, upstream and platform messages: any bytes give a message or an error.
+
+use hyper::HeaderMap;
+use hyper::header::{HeaderName, HeaderValue};
+use proptest::prelude::*;
+use tamarackdeck::{
+    Beat, Claim, Head, Hello, QueryAnswer, Roster, Ticket, Welcome, Wishes, Work, WorkReply,
+    decode, encode,
+};
+
+const CASES: u32 = 4_000;
+
+fn headers(pairs: &[(&str, Vec<u8>)]) -> HeaderMap {
+    let mut map = HeaderMap::new();
+    for (name, value) in pairs {
+        if let (Ok(name), Ok(value)) = (name.parse::<HeaderName>(), HeaderValue::from_bytes(value))
+        {
+            map.append(name, value);
+        }
+    }
+    map
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: CASES,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn peer_messages(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let _ = decode::<Hello>(&bytes);
+        let _ = decode::<Welcome>(&bytes);
+        let _ = decode::<Work>(&bytes);
+        let _ = decode::<WorkReply>(&bytes);
+        let _ = decode::<Beat>(&bytes);
+    }
+
+    #[test]
+    fn peer_messages_with_a_changed_byte(at in 0usize..200, to in any::<u8>(), shard in "[a-z]{0,9}") {
+        let label = tamarackdeck::Label { shard, ..Default::default() };
+        let work = Work { label, upstream: "u".into(), idempotent: true, left_us: 5, body: vec![1, 2, 3].into() };
+        let mut bytes = encode(std::slice::from_ref(&work)).unwrap().to_vec();
+        prop_assert_eq!(decode::<Work>(&bytes).unwrap(), vec![work]);
+        let at = at % bytes.len();
+        bytes[at] = to;
+        let _ = decode::<Work>(&bytes);
+        bytes.truncate(at);
+        prop_assert!(decode::<Work>(&bytes).is_err(), "a truncated frame is no message");
+    }
+
+    #[test]
+    fn platform_and_operator_messages(text in "[\\[\\]{}\",:0-9a-z\\\\]{0,200}") {
+        let _ = serde_json::from_str::<Head>(&text);
+        let _ = serde_json::from_str::<Roster>(&text);
+        let _ = serde_json::from_str::<Claim>(&text);
+        let _ = serde_json::from_str::<Ticket>(&text);
+        let _ = serde_json::from_str::<QueryAnswer>(&text);
+    }
+
+    #[test]
+    fn caller_headers(value in proptest::collection::vec(any::<u8>(), 0..40), twice in any::<bool>()) {
+        for name in ["x-deadline-ms", "x-prefer", "idempotency-key", "x-shard"] {
+            let mut pairs = vec![(name, value.clone())];
+            if twice {
+                pairs.push((name, value.clone()));
+            }
+            let map = headers(&pairs);
+            let read = Wishes::read(&map);
+            prop_assert!(!(twice && map.len() == 2) || read.is_err(), "a header given twice is refused");
+        }
+    }
+}
+
+struct HelloCase {
+    name: &'static str,
+    change: fn(&mut Hello),
+    refused: Option<&'static str>,
+}
+
+const HELLOS: &[HelloCase] = &[
+    HelloCase { name: "same deployment", change: |_| {}, refused: None },
+    HelloCase { name: "another domain", change: |h| h.domain = "far".into(), refused: None },
+    HelloCase {
+        name: "another deployment",
+        change: |h| h.deployment = "x".into(),
+        refused: Some("deployment"),
+    },
+    HelloCase {
+        name: "a newer version",
+        change: |h| h.version += 1,
+        refused: Some("protocol version"),
+    },
+    HelloCase { name: "no instance", change: |h| h.from.0.clear(), refused: Some("no instance") },
+];
+
+#[test]
+fn a_hello_is_understood_or_refused_clearly() {
+    for case in HELLOS {
+        let from = tamarackdeck::InstanceId::new("a", 1);
+        let version = tamarackdeck::PEER_VERSION;
+        let mut hello =
+            Hello { deployment: "default".into(), version, from: from.clone(), domain: "d".into() };
+        (case.change)(&mut hello);
+        match (hello.welcome("default", &from), case.refused) {
+            (Welcome::Yes(_), None) => {}
+            (Welcome::No(why), Some(word)) => assert!(why.contains(word), "{}: {why}", case.name),
+            (welcome, _) => panic!("{}: {welcome:?}", case.name),
+        }
+    }
+}
--- /dev/null
+++ b/tests/once.rs
@@ -0,0 +1,196 @@
+//! Idempotency keys: at most one run, and every refusal as not run is true.
+
+mod support;
+
+use bytes::Bytes;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use support::seeds;
+use tamarackdeck::{
+    Attempt, Claim, Fault, Label, Outcome, RawAnswer, Settle, Step, Why, Written, after_create,
+    after_read, settle,
+};
+
+fn claim(token: u64, digest: u64, answer: Option<&str>) -> Claim {
+    Claim { token, digest, answer: answer.map(Into::into) }
+}
+
+struct Case {
+    name: &'static str,
+    found: Option<Option<(u64, u64, Option<&'static str>)>>,
+    step: fn() -> Step,
+}
+
+const CASES: &[Case] = &[
+    Case { name: "no answer", found: None, step: || Step::Refuse(Why::PlatformAway) },
+    Case { name: "nothing there", found: Some(None), step: || Step::Refuse(Why::PlatformAway) },
+    Case { name: "my own", found: Some(Some((1, 5, None))), step: || Step::Send },
+    Case {
+        name: "under way",
+        found: Some(Some((2, 5, None))),
+        step: || Step::Unsettled(Fault::Unsettled),
+    },
+    Case {
+        name: "answered",
+        found: Some(Some((2, 5, Some("a")))),
+        step: || Step::Replay("a".into()),
+    },
+    Case {
+        name: "another body",
+        found: Some(Some((2, 6, Some("a")))),
+        step: || Step::Refuse(Why::KeyReused),
+    },
+];
+
+#[test]
+fn what_is_read_back_decides() {
+    for case in CASES {
+        let found =
+            case.found.map(|f| f.map(|(token, digest, answer)| claim(token, digest, answer)));
+        assert_eq!(after_read(found, &claim(1, 5, None)), (case.step)(), "{}", case.name);
+    }
+}
+
+/// What a caller was told.
+#[derive(Debug, PartialEq)]
+enum Told {
+    Answered,
+    NotRun,
+    Unknown,
+}
+
+/// One request with the key, at some point of its way.
+enum At {
+    Create,
+    ReadBack,
+    Send,
+    Settle(Settle),
+    Done(Told),
+}
+
+struct Request {
+    claim: Claim,
+    version: u64,
+    at: At,
+    ran: bool,
+}
+
+struct World {
+    rng: StdRng,
+    object: Option<(u64, Claim)>,
+    versions: u64,
+}
+
+impl World {
+    /// A write whose answer may be lost, before or after it took effect.
+    fn write(&mut self, apply: impl FnOnce(&mut Self) -> Written) -> Written {
+        match self.rng.random_range(0..6) {
+            0 => Written::Unknown,
+            1 => {
+                apply(self);
+                Written::Unknown
+            }
+            _ => apply(self),
+        }
+    }
+
+    fn put(&mut self, claim: Claim, version: u64) -> Written {
+        if self.object.as_ref().map_or(0, |(v, _)| *v) != version {
+            return Written::Conflict;
+        }
+        self.versions += 1;
+        self.object = Some((self.versions, claim));
+        Written::Yes
+    }
+
+    fn step(&mut self, r: &mut Request) {
+        let next = match &r.at {
+            At::Create => {
+                let claim = r.claim.clone();
+                let written = self.write(|w| w.put(claim, 0));
+                r.version = self.versions;
+                after_create(written)
+            }
+            At::ReadBack => {
+                let answers = self.rng.random_bool(0.8);
+                let found = answers.then(|| self.object.clone());
+                if let Some(Some((version, _))) = &found {
+                    r.version = *version;
+                }
+                after_read(found.map(|f| f.map(|(_, claim)| claim)), &r.claim)
+            }
+            At::Send => {
+                let (outcome, ran) = self.send();
+                r.ran |= ran;
+                r.at = At::Settle(settle(&outcome));
+                r.claim.answer = matches!(outcome, Outcome::Answer(_)).then(|| "done".to_owned());
+                return;
+            }
+            At::Settle(kind) => {
+                let (kind, claim, version) = (*kind, r.claim.clone(), r.version);
+                match kind {
+                    Settle::Record => drop(self.write(|w| w.put(claim, version))),
+                    Settle::Remove => drop(self.write(|w| {
+                        let mine = w.object.as_ref().is_some_and(|(v, _)| *v == version);
+                        w.object.take_if(|_| mine);
+                        Written::Yes
+                    })),
+                    Settle::Keep => {}
+                }
+                r.at = At::Done(match kind {
+                    Settle::Record => Told::Answered,
+                    Settle::Remove => Told::NotRun,
+                    Settle::Keep => Told::Unknown,
+                });
+                return;
+            }
+            At::Done(_) => return,
+        };
+        r.at = match next {
+            Step::ReadBack => At::ReadBack,
+            Step::Send => At::Send,
+            Step::Replay(_) => At::Done(Told::Answered),
+            Step::Refuse(_) => At::Done(Told::NotRun),
+            Step::Unsettled(_) => At::Done(Told::Unknown),
+        };
+    }
+
+    /// An upstream that answers, refuses, or is lost before or after it ran.
+    fn send(&mut self) -> (Outcome, bool) {
+        let attempt = Attempt::new(Label::default());
+        let raw = RawAnswer { label: Label::default(), length: 2, body: Bytes::from("ok") };
+        match self.rng.random_range(0..4) {
+            0 => (attempt.refuse(Why::NotConnected), false),
+            1 => (attempt.hand().lost(Fault::Lost), false),
+            2 => (attempt.hand().lost(Fault::PeerLost), true),
+            _ => (attempt.hand().answer(raw), true),
+        }
+    }
+}
+
+#[test]
+fn at_most_one_run_and_true_refusals() {
+    for seed in seeds(30_000) {
+        let mut world = World { rng: StdRng::seed_from_u64(seed), object: None, versions: 0 };
+        let count = world.rng.random_range(1..5);
+        let new = |token| Request {
+            claim: claim(token, 5, None),
+            version: 0,
+            at: At::Create,
+            ran: false,
+        };
+        let mut requests: Vec<_> = (0..count).map(new).collect();
+        for _ in 0..60 {
+            let at = world.rng.random_range(0..requests.len());
+            world.step(&mut requests[at]);
+        }
+        let runs = requests.iter().filter(|r| r.ran).count();
+        assert!(runs <= 1, "seed {seed}: {runs} runs");
+        for r in &requests {
+            let refused = matches!(r.at, At::Done(Told::NotRun));
+            assert!(!(refused && r.ran), "seed {seed}: refused as not run, but it ran");
+            let answered = matches!(r.at, At::Done(Told::Answered));
+            assert!(!answered || runs == 1, "seed {seed}: answered without a run");
+        }
+    }
+}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,74 @@
+//! Settings: flags before variables, all findings together.
+
+use tamarackdeck::{Command, Settings};
+
+struct Case {
+    name: &'static str,
+    args: &'static [&'static str],
+    env: &'static [(&'static str, &'static str)],
+    want: fn(&Command) -> bool,
+}
+
+const GOOD: &[Case] = &[
+    Case {
+        name: "flags",
+        args: &["--instance", "a", "--domain", "d", "--platform", "memory:"],
+        env: &[],
+        want: |c| matches!(c, Command::Run(s) if s.instance == "a" && s.platform.is_none()),
+    },
+    Case {
+        name: "variables",
+        args: &[],
+        env: &[("TAMARACK_INSTANCE", "b"), ("TAMARACK_DOMAIN", "d"), ("TAMARACK_FLIGHTS", "9")],
+        want: |c| matches!(c, Command::Run(s) if s.instance == "b" && s.flights == 9),
+    },
+    Case {
+        name: "a flag goes first",
+        args: &["--instance", "a", "--domain", "d"],
+        env: &[("TAMARACK_INSTANCE", "b")],
+        want: |c| matches!(c, Command::Run(s) if s.instance == "a"),
+    },
+    Case { name: "help", args: &["--help"], env: &[], want: |c| *c == Command::Help },
+    Case { name: "version", args: &["--version"], env: &[], want: |c| *c == Command::Version },
+    Case {
+        name: "check",
+        args: &["--check", "--instance", "a", "--domain", "d"],
+        env: &[],
+        want: |c| *c == Command::Check,
+    },
+];
+
+fn read(args: &[&str], env: &[(&str, &str)]) -> Result<Command, String> {
+    let find = |name: &str| env.iter().find(|(n, _)| *n == name).map(|(_, v)| v.to_string());
+    Settings::read(args.iter().map(Into::into), find).map_err(|f| f.to_string())
+}
+
+#[test]
+fn good_settings_are_taken() {
+    for case in GOOD {
+        let command = read(case.args, case.env).unwrap_or_else(|e| panic!("{}: {e}", case.name));
+        assert!((case.want)(&command), "{}: {command:?}", case.name);
+    }
+}
+
+#[test]
+fn every_finding_is_reported_with_its_place() {
+    let args = [
+        "--callers",
+        "nowhere",
+        "--peers",
+        "127.0.0.1:1",
+        "--operators",
+        "127.0.0.1:1",
+        "--lease-ms",
+        "5",
+    ];
+    let env =
+        [("TAMARACK_FLIGHTS", "many"), ("TAMARACK_LOG_FORMAT", "xml"), ("TAMARACK_DOMAIN", "a b")];
+    insta::assert_snapshot!(read(&args, &env).unwrap_err());
+}
+
+#[test]
+fn the_help_text_names_every_flag_with_its_variable() {
+    insta::assert_snapshot!(Settings::help());
+}
