Try cold replicas now and then; wait for a request under way with the same key

Cause: (1) a domain that returned cold got no work for good, since warm replicas elsewhere always looked better, so it never warmed up; (2) a retry with the same key during the first run was told that the outcome is unknown, though it would be known a moment later. Ruled out for (1): the configuration (the domain was back in on all instances). Change: one choice in ten leaves the cost of a cold upstream out; a second request with a key under way reads the record again until its deadline. Before: two red cases in tests/processes.rs. After: both green.

--- a/src/coordination/replica.rs
+++ b/src/coordination/replica.rs
@@ -14,6 +14,8 @@
 const HALF_LIFE: Duration = Duration::from_secs(1);
 /// Cost added for an upstream that is ramping up, in answer times.
 const COLD_COST: f64 = 4.0;
+/// Share of choices that leave that cost out, so that it does ramp up while others suffice.
+const COLD_SHARE: f64 = 0.1;
 
 /// A replica that may be asked.
 #[derive(Clone, Copy, Debug)]
@@ -37,24 +39,28 @@
 
 /// Estimates the time until `c` would answer, in microseconds.
 pub fn expected_us(c: &Candidate, now: Tick) -> f64 {
+    expected(c, COLD_COST, now)
+}
+
+fn expected(c: &Candidate, cold_cost: f64, now: Tick) -> f64 {
     let default = DEFAULT_MEAN.as_micros() as f64;
     let heard = if c.heard.news.mean_us == 0 { default } else { f64::from(c.heard.news.mean_us) };
     let age = now.since(c.heard.at).as_secs_f64();
     let trust = (-age / HALF_LIFE.as_secs_f64()).exp2();
     let mean = default.min(heard) + (heard - default.min(heard)) * trust;
     let depth = f64::from(c.heard.news.depth) * trust + f64::from(c.heard.mine);
-    let cold = if c.heard.news.health == Health::Cold { COLD_COST } else { 0.0 };
+    let cold = if c.heard.news.health == Health::Cold { cold_cost } else { 0.0 };
     mean * (1.0 + depth / 2.0 + cold) + c.hop.as_micros() as f64
 }
 
-fn cost(c: &Candidate, now: Tick, rng: &mut impl Rng) -> Cost {
+fn cost(c: &Candidate, cold_cost: f64, now: Tick, rng: &mut impl Rng) -> Cost {
     let class = match c.heard.news.health {
         Health::Warm | Health::Cold => 0,
         Health::Ejected => 1,
         Health::Leaving => 2,
     };
     let jitter = rng.random_range(0.95..1.05);
-    Cost { class, time_us: expected_us(c, now) * jitter }
+    Cost { class, time_us: expected(c, cold_cost, now) * jitter }
 }
 
 /// Picks the replica to ask; one that was not asked yet goes before one that was.
@@ -64,9 +70,10 @@
     now: Tick,
     rng: &mut impl Rng,
 ) -> Option<UpstreamKey> {
+    let cold_cost = if rng.random_bool(COLD_SHARE) { 0.0 } else { COLD_COST };
     let mut best: Option<((bool, Cost), UpstreamKey)> = None;
     for c in candidates.iter().filter(|c| c.open) {
-        let rank = (tried.contains(&c.key), cost(c, now, rng));
+        let rank = (tried.contains(&c.key), cost(c, cold_cost, now, rng));
         if best.is_none_or(|(b, _)| rank < b) {
             best = Some((rank, c.key));
         }
--- a/src/transport/once_request.rs
+++ b/src/transport/once_request.rs
@@ -1,6 +1,7 @@
 //! A non-idempotent request with an idempotency key: claim, send, settle.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 
@@ -36,6 +37,11 @@
     keyed.await.unwrap_or(Err(Refusal::OutcomeUnknown { reason: crate::Fault::Lost }))
 }
 
+/// Time before the record of a request under way is read again; it doubles each time.
+const FIRST_WAIT: Duration = Duration::from_millis(20);
+/// Longest time to wait for the answer of a request under way, when the caller set no deadline.
+const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
+
 struct Keyed {
     node: Arc<Node>,
     service: String,
@@ -51,7 +57,7 @@
     }
 
     async fn run(mut self, wishes: Wishes, body: Bytes) -> Result<RequestAnswer, Refusal> {
-        match self.create().await {
+        match self.claim(&wishes).await {
             Step::Send => {}
             Step::Replay(answer) => {
                 return serde_json::from_str(&answer)
@@ -68,6 +74,19 @@
         answer.map(|part| RequestAnswer { replayed: false, part })
     }
 
+    /// Claims the key; while an earlier request with it is under way, its answer is waited for.
+    async fn claim(&mut self, wishes: &Wishes) -> Step {
+        let mut step = self.create().await;
+        let mut wait = FIRST_WAIT;
+        let deadline = self.node.now() + wishes.deadline.unwrap_or(LONGEST_WAIT);
+        while matches!(step, Step::Unsettled(_)) && self.node.now() + wait < deadline {
+            tokio::time::sleep(wait).await;
+            wait *= 2;
+            step = self.read_back().await;
+        }
+        step
+    }
+
     async fn create(&mut self) -> Step {
         let value = serde_json::to_string(&self.claim).unwrap_or_default();
         let written = match self.platform().map(|p| p.put(&self.object, value, 0)) {
