--- a/standins/src/scenario.rs
+++ b/standins/src/scenario.rs
@@ -130,6 +130,17 @@
         )
         .await;
     }
+    let (report, told) = drive(&mut rig, &balancer, &scenario).await?;
+    let upstreams = rig.upstreams.iter().map(|(n, u)| (n.clone(), u.stats())).collect();
+    Ok(Seen { rig, report, told, upstreams })
+}
+
+/// Puts load on a deployment that runs, while the scenario's steps happen.
+pub async fn drive(
+    rig: &mut Rig,
+    balancer: &Arc<Balancer>,
+    scenario: &Scenario,
+) -> Result<(Option<Report>, ToldByBody)> {
     rig.upstreams.values().for_each(|u| u.reset_stats());
     let length = scenario.load.as_ref().map_or(Duration::from_secs(3), |l| l.length);
     let queries = scenario.load.clone().map(|l| tokio::spawn(load::run(balancer.clone(), l)));
@@ -139,7 +150,7 @@
     let start = tokio::time::Instant::now();
     for (at, step) in &scenario.steps {
         tokio::time::sleep_until(start + *at).await;
-        act(&mut rig, step).await.with_context(|| format!("{step:?}"))?;
+        act(rig, step).await.with_context(|| format!("{step:?}"))?;
     }
     let report = match queries {
         Some(task) => Some(task.await?),
@@ -149,11 +160,11 @@
         Some(task) => task.await?,
         None => ToldByBody::new(),
     };
-    let upstreams = rig.upstreams.iter().map(|(n, u)| (n.clone(), u.stats())).collect();
-    Ok(Seen { rig, report, told, upstreams })
+    Ok((report, told))
 }
 
-async fn act(rig: &mut Rig, step: &Step) -> Result<()> {
+/// Lets one step happen.
+pub async fn act(rig: &mut Rig, step: &Step) -> Result<()> {
     match step {
         Step::KillUpstream(name) => upstream(rig, name)?.kill(),
         Step::RestartUpstream(name) => upstream(rig, name)?.restart().await?,
--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -82,6 +82,8 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct UpstreamStats {
     pub runs: u64,
+    /// Requests that began to run, whatever became of them.
+    pub started: u64,
     pub shed: u64,
     pub cancelled: u64,
     /// Most requests at once, waiting ones included.
@@ -360,7 +362,11 @@
     if state.lock().faults.lost == "before" {
         return None;
     }
-    let took = service_time(&mut state.lock());
+    let took = {
+        let mut s = state.lock();
+        s.stats.started += 1;
+        service_time(&mut s)
+    };
     let query = !snapshot.is_empty();
     if query {
         tokio::select! {
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -62,6 +62,88 @@
     }
 }
 
+/// Something that reaches a granter, at a time in milliseconds; the holders are `a` and `b`.
+enum Event {
+    Ask(&'static str, u64),
+    Released(&'static str, u64),
+}
+
+struct GrantCase {
+    name: &'static str,
+    events: &'static [(u64, Event)],
+    /// Whether `b` is then granted the bucket, and when it asks.
+    granted: bool,
+    at: u64,
+}
+
+const GRANTS: &[GrantCase] = &[
+    GrantCase { name: "free", events: &[], granted: true, at: 5_000 },
+    GrantCase { name: "held", events: &[(5_000, Event::Ask("a", 1))], granted: false, at: 7_200 },
+    GrantCase {
+        name: "run out, margin and all",
+        events: &[(5_000, Event::Ask("a", 1))],
+        granted: true,
+        at: 7_301,
+    },
+    GrantCase {
+        name: "released",
+        events: &[(5_000, Event::Ask("a", 1)), (5_100, Event::Released("a", 2))],
+        granted: true,
+        at: 5_200,
+    },
+    GrantCase {
+        name: "a late release after a newer request",
+        events: &[
+            (5_000, Event::Ask("a", 1)),
+            (5_100, Event::Ask("a", 3)),
+            (5_200, Event::Released("a", 2)),
+        ],
+        granted: false,
+        at: 5_300,
+    },
+    GrantCase {
+        name: "an old request after a newer one, then a late release",
+        events: &[
+            (5_000, Event::Ask("a", 3)),
+            (5_100, Event::Ask("a", 1)),
+            (5_200, Event::Released("a", 2)),
+        ],
+        granted: false,
+        at: 5_300,
+    },
+    GrantCase {
+        name: "released by another",
+        events: &[(5_000, Event::Ask("a", 1)), (5_100, Event::Released("b", 9))],
+        granted: false,
+        at: 5_200,
+    },
+];
+
+#[test]
+fn a_granter_has_one_holder_at_a_time() {
+    for case in GRANTS {
+        let members = ["a", "b", "g"].map(|n| member(n, 1));
+        let id = |name: &str| InstanceId::new(name, 1);
+        let roster = roster(1, &members);
+        let mut leases = Leases::new(id("g"), LeaseOptions::default(), ms(0));
+        leases.set_roster(roster.clone(), ms(0));
+        let ask = |name, at| Ask {
+            bucket: Bucket(7),
+            holder: id(name),
+            stamp: roster.stamp(),
+            at: ms(at),
+        };
+        for (now, event) in case.events {
+            match event {
+                Event::Ask(name, at) => drop(leases.grant(&ask(name, *at), ms(*now))),
+                Event::Released(name, at) => leases.released(Bucket(7), &id(name), ms(*at)),
+            }
+        }
+        let verdict = leases.grant(&ask("b", 9), ms(case.at));
+        assert_eq!(verdict == Verdict::Granted, case.granted, "{}: {verdict:?}", case.name);
+    }
+}
+
 /// One instance of the randomised run.
 struct Node {
     member: Member,
