--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -144,6 +144,8 @@
     async fn run(work: Work) -> WorkReply;
     /// Tells what this instance knows of upstreams that it is steward of.
     async fn news(upstreams: Vec<String>) -> IndexMap<String, News>;
+    /// Answers at once: the link is alive.
+    async fn ping();
     /// Takes a heartbeat.
     async fn beat(beat: Beat) -> BeatReply;
     /// Returns the configuration, if it is newer than `have`.
--- a/src/transport/choices.rs
+++ b/src/transport/choices.rs
@@ -1,7 +1,9 @@
 //! What the decisions of a fan-out see of this instance's state.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use rand::rngs::StdRng;
 
 use crate::coordination::fanout::Choices;
@@ -23,31 +25,41 @@
     pub(crate) catalog: &'a Catalog,
     pub(crate) service: ServiceKey,
     pub(crate) entry: &'a ServiceEntry,
-    pub(crate) rng: StdRng,
+    owners: Arc<IndexMap<UpstreamKey, Owner>>,
+    rng: StdRng,
 }
 
-impl NodeChoices<'_> {
+impl<'a> NodeChoices<'a> {
+    pub(crate) fn new(
+        node: &'a Node,
+        catalog: &'a Catalog,
+        service: ServiceKey,
+        entry: &'a ServiceEntry,
+    ) -> Self {
+        Self { node, catalog, service, entry, owners: node.owners(), rng: node.rng() }
+    }
+
     fn stats<R>(&self, f: impl FnOnce(&mut ServiceStats) -> R) -> R {
         self.node.stats.with_or(self.service, ServiceStats::default, f)
     }
 
-    pub(crate) fn candidate(&self, key: UpstreamKey) -> Candidate {
+    fn candidate(&self, key: UpstreamKey) -> Candidate {
         let heard = self.node.news.with(key, |heard| *heard).unwrap_or_default();
         let open = self.catalog.upstream(key).is_some_and(|u| u.open);
-        // the configuration in force now goes before the one that the query began with
-        let open_now = open && self.node.catalog().upstream(key).is_some_and(|u| u.open);
-        let (reach, hop) = match self.node.owner(key) {
-            _ if self.node.cfg.mode == Mode::Baseline => (true, Duration::ZERO),
-            Some(owner) if owner.member.id == self.node.me.id => (true, Duration::ZERO),
-            Some(owner) => {
-                let (up, rtt) = self.node.links.state(owner.member.addr);
-                let far = owner.member.domain != self.node.cfg.domain;
-                let delay = if far { self.node.cfg.peer_delay * 2 } else { Duration::ZERO };
-                (up || self.has_deputy(&owner), rtt + delay)
-            }
-            None => (false, Duration::ZERO),
-        };
-        Candidate { key, heard, hop, open: open_now && reach }
+        let (reach, hop) = self.hop(key);
+        Candidate { key, heard, hop, open: open && reach }
+    }
+
+    /// Says whether the upstream's steward may be reached, and the round trip to it.
+    fn hop(&self, key: UpstreamKey) -> (bool, Duration) {
+        let Some(owner) = self.owners.get(&key) else { return (false, Duration::ZERO) };
+        if self.node.cfg.mode == Mode::Baseline || owner.member.id == self.node.me.id {
+            return (true, Duration::ZERO);
+        }
+        let (up, rtt) = self.node.links.state(owner.member.addr);
+        let far = owner.member.domain != self.node.cfg.domain;
+        let delay = if far { self.node.cfg.peer_delay * 2 } else { Duration::ZERO };
+        (up || self.has_deputy(owner), rtt + delay)
     }
 
     fn has_deputy(&self, owner: &Owner) -> bool {
--- a/src/transport/entry.rs
+++ b/src/transport/entry.rs
@@ -89,11 +89,8 @@
         opts.first_attempt = u64::from(pass) * PASS;
         opts.may_restart =
             pass < MOST_RESTARTS && choose(node, key, entry, Some(snapshot)).is_some();
-        let mut run = Run {
-            node,
-            choices: NodeChoices { node, catalog: &catalog, service: key, entry, rng: node.rng() },
-            body: body.clone(),
-        };
+        let mut run =
+            Run { node, choices: NodeChoices::new(node, &catalog, key, entry), body: body.clone() };
         match run.pass(opts, snapshot, entry).await {
             Some(answer) => return Ok(answer),
             None => after = Some(snapshot),
@@ -313,7 +310,7 @@
         }
     };
     let deadline = started + entry.policy.hard(wishes.deadline);
-    let mut choices = NodeChoices { node, catalog: &catalog, service: key, entry, rng: node.rng() };
+    let mut choices = NodeChoices::new(node, &catalog, key, entry);
     let mut tried = Vec::new();
     let mut last = Why::NoReplica;
     for attempt in 0..MOST_PLACINGS as u64 {
--- a/src/transport/links.rs
+++ b/src/transport/links.rs
@@ -10,6 +10,7 @@
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use tarpc::client::{Config, NewClient};
+use tarpc::context;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_tungstenite::tungstenite::Message;
@@ -22,8 +23,10 @@
 
 /// Longest time to open a link, hello included.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time without any answer after which a link is closed.
-const SILENT: Duration = Duration::from_millis(1_200);
+/// Time without any answer after which a link in use is pinged.
+const QUIET: Duration = Duration::from_millis(300);
+/// Time without any answer to a ping after which a link is closed.
+const SILENT: Duration = Duration::from_millis(800);
 /// Time for which a peer that could not be reached is not tried again.
 const BACKOFF: Duration = Duration::from_millis(300);
 /// Requests that may be in flight on one link.
@@ -34,13 +37,19 @@
     pub(crate) client: PeerClient,
     task: AbortOnDrop,
     rtt_us: AtomicU32,
-    heard: Mutex<Instant>,
+    heard: Mutex<Heard>,
+}
+
+struct Heard {
+    at: Instant,
+    // since when a ping has had no answer
+    pinged: Option<Instant>,
 }
 
 impl Link {
     /// Notes an answer; `rtt` is its round trip if it shows the link's own.
     pub(crate) fn heard(&self, rtt: Option<Duration>) {
-        *self.heard.lock() = Instant::now();
+        *self.heard.lock() = Heard { at: Instant::now(), pinged: None };
         if let Some(rtt) = rtt {
             let us = rtt.as_micros().min(u128::from(u32::MAX)) as u32;
             let old = self.rtt_us.load(Ordering::Relaxed);
@@ -50,7 +59,27 @@
     }
 
     fn up(&self) -> bool {
-        !self.task.0.is_finished() && self.heard.lock().elapsed() < SILENT
+        !self.task.0.is_finished()
+            && self.heard.lock().pinged.is_none_or(|at| at.elapsed() < SILENT)
+    }
+
+    /// Pings a link that is about to be used and has been quiet; an idle one costs nothing.
+    fn ping_if_quiet(self: &Arc<Self>) {
+        let mut heard = self.heard.lock();
+        if heard.pinged.is_some() || heard.at.elapsed() < QUIET {
+            return;
+        }
+        heard.pinged = Some(Instant::now());
+        drop(heard);
+        let link = self.clone();
+        tokio::spawn(async move {
+            let started = Instant::now();
+            let mut cx = context::current();
+            cx.deadline = started + SILENT;
+            if link.client.ping(cx).await.is_ok() {
+                link.heard(Some(started.elapsed()));
+            }
+        });
     }
 }
 
@@ -74,6 +103,7 @@
             let mut places = self.places.lock();
             let place = places.entry(addr).or_default();
             if let Some(link) = place.link.as_ref().filter(|l| l.up()) {
+                link.ping_if_quiet();
                 return Ok(link.clone());
             }
             place.link = None;
@@ -161,7 +191,7 @@
     let task = tokio::spawn(async move {
         let _ = dispatch.await;
     });
-    let heard = Mutex::new(Instant::now());
+    let heard = Mutex::new(Heard { at: Instant::now(), pinged: None });
     Ok(Link { client, task: AbortOnDrop(task), rtt_us: AtomicU32::new(0), heard })
 }
 
--- a/src/transport/peer_server.rs
+++ b/src/transport/peer_server.rs
@@ -107,6 +107,10 @@
         reports::tell(&self.node, &upstreams).await
     }
 
+    async fn ping(self, _: context::Context) {
+        self.gate().await;
+    }
+
     async fn beat(self, _: context::Context, beat: Beat) -> BeatReply {
         self.gate().await;
         beats::take_beat(&self.node, beat)
