--- a/src/protocol/frames.rs
+++ b/src/protocol/frames.rs
@@ -6,6 +6,8 @@
 use std::collections::VecDeque;
 use std::marker::PhantomData;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
@@ -51,13 +53,14 @@
     ws: W,
     read: VecDeque<In>,
     batch: Vec<Out>,
+    sent: Arc<AtomicU64>,
     kind: PhantomData<fn() -> In>,
 }
 
 impl<W, In, Out> Frames<W, In, Out> {
-    /// Wraps a WebSocket.
-    pub fn new(ws: W) -> Self {
-        Self { ws, read: VecDeque::new(), batch: Vec::new(), kind: PhantomData }
+    /// Wraps a WebSocket; the bytes of all frames sent are added to `sent`.
+    pub fn new(ws: W, sent: Arc<AtomicU64>) -> Self {
+        Self { ws, read: VecDeque::new(), batch: Vec::new(), sent, kind: PhantomData }
     }
 }
 
@@ -100,6 +103,7 @@
         ready!(Pin::new(&mut self.ws).poll_ready(cx))?;
         let buf = encode(&self.batch)?;
         self.batch.clear();
+        self.sent.fetch_add(buf.len() as u64, Ordering::Relaxed);
         Pin::new(&mut self.ws).start_send(Message::Binary(buf))?;
         Poll::Ready(Ok(()))
     }
--- a/src/transport/beats.rs
+++ b/src/transport/beats.rs
@@ -25,17 +25,12 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
 /// Peers of one other failure domain that a change is pushed to.
 const PUSH_FAR: usize = 2;
-/// Approximate bytes of a heartbeat without its lists, for the count of control bytes.
-const BEAT_BYTES: u64 = 160;
-/// Approximate bytes of one request for a lease.
-const ASK_BYTES: u64 = 2;
 
 /// Sends heartbeats until the process ends.
 pub(crate) async fn run(node: Arc<Node>) {
     loop {
         let started = Instant::now();
         round(&node).await;
-        node.metrics.beat_seconds.inc_by(started.elapsed().as_secs_f64().min(0.001));
         give_back(&node).await;
         align_gates(&node);
         let jitter = rand::rng().random_range(0.9..1.1);
@@ -125,7 +120,6 @@
         rosters,
     };
     node.metrics.control_calls.with_label_values(&["beat"]).inc();
-    node.metrics.control_bytes.inc_by(BEAT_BYTES + ASK_BYTES * asks.len() as u64);
     let asked = node.now();
     let reply = link.client.beat(context_for(TIMEOUT), beat).await;
     if let Ok(reply) = reply {
@@ -221,11 +215,9 @@
             targets.extend(far.sample(&mut rand::rng(), PUSH_FAR).cloned());
         }
     }
-    let bytes = serde_json::to_vec(&head).map_or(0, |v| v.len()) as u64;
     let send = async |m: Member| {
         if let Some(peer) = node.peer(m.addr).await {
             node.metrics.control_calls.with_label_values(&["push"]).inc();
-            node.metrics.control_bytes.inc_by(bytes);
             let _ = peer.push(context_for(HEAD_TIMEOUT), head.clone()).await;
         }
     };
--- a/src/transport/links.rs
+++ b/src/transport/links.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result, bail};
@@ -93,6 +93,8 @@
 /// All links of an instance, by the peer's address.
 #[derive(Default)]
 pub(crate) struct Links {
+    /// Bytes of all frames sent to peers, on links opened here and on those accepted.
+    pub(crate) sent: Arc<AtomicU64>,
     places: Mutex<IndexMap<SocketAddr, Place>>,
 }
 
@@ -116,7 +118,10 @@
         if let Some(link) = self.up(addr) {
             return Ok(link);
         }
-        let opened = timeout(OPEN_TIMEOUT, open(addr, hello)).await.context("timed out").flatten();
+        let opened = timeout(OPEN_TIMEOUT, open(addr, hello, self.sent.clone()))
+            .await
+            .context("timed out")
+            .flatten();
         let mut places = self.places.lock();
         let place = places.entry(addr).or_default();
         match opened {
@@ -174,7 +179,7 @@
     WebSocketConfig::default().max_message_size(Some(MOST_BYTES)).max_frame_size(Some(MOST_BYTES))
 }
 
-async fn open(addr: SocketAddr, hello: &Hello) -> Result<Link> {
+async fn open(addr: SocketAddr, hello: &Hello, sent: Arc<AtomicU64>) -> Result<Link> {
     let stream = TcpStream::connect(addr).await?;
     stream.set_nodelay(true)?;
     let (mut ws, _) =
@@ -187,7 +192,7 @@
     let mut cfg = Config::default();
     cfg.max_in_flight_requests = IN_FLIGHT;
     cfg.pending_request_buffer = IN_FLIGHT;
-    let NewClient { client, dispatch } = PeerClient::new(cfg, Frames::new(ws));
+    let NewClient { client, dispatch } = PeerClient::new(cfg, Frames::new(ws, sent));
     let task = tokio::spawn(async move {
         let _ = dispatch.await;
     });
--- a/src/transport/metrics.rs
+++ b/src/transport/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and gauges, in the text form of Prometheus.
 
 use prometheus::{
-    Counter, Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// Upper ends of the buckets of answer times, in seconds.
@@ -22,9 +22,8 @@
     pub(crate) steward_runs: IntCounter,
     pub(crate) steward_refusals: IntCounterVec,
     pub(crate) platform_calls: IntCounterVec,
-    pub(crate) control_bytes: IntCounter,
+    pub(crate) link_bytes: IntGauge,
     pub(crate) control_calls: IntCounterVec,
-    pub(crate) beat_seconds: Counter,
     pub(crate) config_version: IntGauge,
     pub(crate) flights: IntGauge,
 }
@@ -61,9 +60,6 @@
 impl Default for Metrics {
     fn default() -> Self {
         let make = Maker(Registry::new());
-        let beat_seconds =
-            Counter::new("tamarack_beat_seconds", "time spent on heartbeats").expect("valid name");
-        make.0.register(Box::new(beat_seconds.clone())).expect("one of each");
         Self {
             answers: make.counter("tamarack_answers", "answers to queries"),
             answers_whole: make
@@ -90,13 +86,13 @@
                 "calls to the platform",
                 "call",
             ),
-            control_bytes: make.counter("tamarack_control_bytes", "bytes of control messages sent"),
+            link_bytes: make
+                .gauge("tamarack_link_bytes", "bytes sent to peers, control and sub-requests"),
             control_calls: make.counters(
                 "tamarack_control_calls",
                 "control calls to peers",
                 "call",
             ),
-            beat_seconds,
             config_version: make
                 .gauge("tamarack_config_version", "version of the configuration in force"),
             flights: make.gauge("tamarack_flights", "requests of callers in flight"),
--- a/src/transport/operator_http.rs
+++ b/src/transport/operator_http.rs
@@ -1,6 +1,7 @@
 //! The listener for operators: probes, metrics, dump, tickets.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use hyper::body::Incoming;
 use hyper::{Method, Request};
@@ -21,7 +22,7 @@
     match (req.method(), path.as_str()) {
         (&Method::GET, "/live") => plain(200, "live\n"),
         (&Method::GET, "/ready") => ready(&node),
-        (&Method::GET, "/metrics") => plain(200, node.metrics.text()),
+        (&Method::GET, "/metrics") => metrics(&node),
         (&Method::GET, "/v1/dump") => json(200, &dump(&node)),
         (&Method::GET, "/v1/config") => json(200, &node.catalog().fleet),
         (&Method::POST, "/v1/tickets") => post_ticket(&node, req).await,
@@ -31,6 +32,11 @@
     }
 }
 
+fn metrics(node: &Node) -> FullResponse {
+    node.metrics.link_bytes.set(node.links.sent.load(Ordering::Relaxed) as i64);
+    plain(200, node.metrics.text())
+}
+
 /// Says whether the balancer should send callers here.
 fn ready(node: &Node) -> FullResponse {
     let out = node.catalog().fleet.domains.get(&node.cfg.domain).is_some_and(|d| d.value.out);
--- a/src/transport/peer_server.rs
+++ b/src/transport/peer_server.rs
@@ -70,8 +70,9 @@
         Ok((ws, hello))
     };
     let (ws, hello) = timeout(HELLO_TIMEOUT, opening).await.context("no hello in time")??;
+    let frames = Frames::new(ws, node.links.sent.clone());
     let server = PeerServer { node, from: Arc::new(hello) };
-    let channel = BaseChannel::with_defaults(Frames::new(ws));
+    let channel = BaseChannel::with_defaults(frames);
     channel
         .execute(server.serve())
         .for_each(|call| async {
--- a/standins/src/bin/measure.rs
+++ b/standins/src/bin/measure.rs
@@ -229,7 +229,7 @@
     let mut counts = Counts { processor: 0.0, control: 0.0, calls: 0, at: Instant::now() };
     for p in rig.instances.values() {
         counts.processor += p.processor_seconds();
-        counts.control += p.counter("tamarack_control_bytes").await;
+        counts.control += p.counter("tamarack_link_bytes").await;
     }
     counts.calls = rig.platform.calls().values().sum();
     counts
