--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,7 +48,7 @@
     ticket_key,
 };
 pub use protocol::upstream::{Call, Ended, Target, Told, Upstreams};
-pub use state::arena::{Arena, AttemptKey, FlightKey, Key, ServiceKey, UpstreamKey, WorkKey};
+pub use state::arena::{Arena, AttemptKey, FlightKey, Key, ServiceKey, UpstreamKey};
 pub use state::catalog::{Catalog, MapEntry, ServiceEntry, ShardEntry, UpstreamEntry};
 pub use state::findings::{Finding, Findings};
 pub use state::fleet::{
--- a/src/state/arena.rs
+++ b/src/state/arena.rs
@@ -39,8 +39,6 @@
     ServiceKey;
     /// Key of an attempt within one query.
     AttemptKey;
-    /// Key of a sub-request waiting or running at an upstream's steward.
-    WorkKey;
     /// Key of a caller's request in flight at this instance.
     FlightKey;
 }
--- a/src/transport/caller_http.rs
+++ b/src/transport/caller_http.rs
@@ -43,7 +43,7 @@
     service: &str,
     req: Request<Incoming>,
 ) -> Result<FullResponse, Refusal> {
-    let _flight = InFlight::new(node, service)?;
+    let _flight = InFlight::new(node)?;
     let (wishes, body) = read(req).await?;
     if wishes.key.is_some() {
         let detail = "idempotency-key: queries are idempotent and take none".into();
@@ -67,7 +67,7 @@
     service: &str,
     req: Request<Incoming>,
 ) -> Result<FullResponse, Refusal> {
-    let _flight = InFlight::new(node, service)?;
+    let _flight = InFlight::new(node)?;
     let (wishes, body) = read(req).await?;
     let answer = once_request::request(node, service, wishes, body).await?;
     Ok(json(200, &answer))
--- a/src/transport/entry.rs
+++ b/src/transport/entry.rs
@@ -44,12 +44,11 @@
 
 impl InFlight {
     /// Takes a request on, unless too many are in flight.
-    pub(crate) fn new(node: &Arc<Node>, service: &str) -> Result<Self, Refusal> {
+    pub(crate) fn new(node: &Arc<Node>) -> Result<Self, Refusal> {
         if node.flights.len() >= node.cfg.flights {
             return Err(Refusal::NotRun { reason: Why::Overloaded });
         }
-        let flight = Flight { _service: service.to_owned() };
-        let place = node.flights.insert(node.fresh(), flight);
+        let place = node.flights.insert(node.fresh(), Flight);
         node.metrics.flights.inc();
         Ok(Self(node.clone(), place))
     }
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -72,9 +72,7 @@
 }
 
 /// A caller's request in flight.
-pub(crate) struct Flight {
-    pub(crate) _service: String,
-}
+pub(crate) struct Flight;
 
 /// The state of one instance.
 pub(crate) struct Node {
