--- a/src/coordination/attempt.rs
+++ b/src/coordination/attempt.rs
@@ -29,6 +29,8 @@
     Leaving,
     /// The upstream shed it.
     Shed,
+    /// The upstream's address belongs to another one now.
+    Replaced,
     /// The upstream does not hold the snapshot.
     NotHeld,
     /// No replica is left to ask.
@@ -92,9 +94,9 @@
 /// How an attempt ended.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum Outcome {
+pub enum Outcome<A = Bytes> {
     /// A whole answer that was checked.
-    Answer(Bytes),
+    Answer(A),
     /// It was not run.
     NotRun(NotRun),
     /// It may have run.
@@ -133,6 +135,8 @@
     Shed,
     /// It is draining.
     Draining,
+    /// Another upstream has the address now.
+    Replaced,
     /// It does not hold the snapshot; these are held.
     NotHeld(Option<Held>),
     /// The deadline had passed when it would have begun.
@@ -149,31 +153,31 @@
 #[derive(Debug)]
 pub struct Handed(());
 
-/// An attempt in life cycle state `S`.
+/// An attempt in life cycle state `S`, known to the upstream by a label of type `L`.
 #[derive(Debug)]
-pub struct Attempt<S> {
-    label: Label,
+pub struct Attempt<S, L = Label> {
+    label: L,
     state: S,
 }
 
-impl Attempt<Waiting> {
+impl<L: PartialEq> Attempt<Waiting, L> {
     /// Begins an attempt.
-    pub fn new(label: Label) -> Self {
+    pub fn new(label: L) -> Self {
         Attempt { label, state: Waiting(()) }
     }
 
     /// Refuses the attempt, truly: it was never handed over.
-    pub fn refuse(self, why: Why) -> Outcome {
+    pub fn refuse<A>(self, why: Why) -> Outcome<A> {
         Outcome::NotRun(NotRun { why, held: None })
     }
 
     /// Returns what the attempt is for.
-    pub fn label(&self) -> &Label {
+    pub fn label(&self) -> &L {
         &self.label
     }
 
     /// Hands the attempt over; from here on we cannot refuse it ourselves.
-    pub fn hand(self) -> Attempt<Handed> {
+    pub fn hand(self) -> Attempt<Handed, L> {
         Attempt { label: self.label, state: Handed(()) }
     }
 }
@@ -189,12 +193,24 @@
             Outcome::Answer(raw.body)
         }
     }
+}
+
+impl<L: PartialEq> Attempt<Handed, L> {
+    /// Settles the attempt with a whole answer, which counts only if its echoed label is this one.
+    pub fn echoed<A>(self, label: Option<&L>, answer: A) -> Outcome<A> {
+        if label.is_some_and(|l| *l != self.label) {
+            Outcome::Unknown(Fault::Mismatch)
+        } else {
+            Outcome::Answer(answer)
+        }
+    }
 
     /// Settles the attempt on the upstream's own word that it did not run it.
-    pub fn said(self, said: Said) -> Outcome {
+    pub fn said<A>(self, said: Said) -> Outcome<A> {
         let (why, held) = match said {
             Said::Shed => (Why::Shed, None),
             Said::Draining => (Why::Leaving, None),
+            Said::Replaced => (Why::Replaced, None),
             Said::NotHeld(held) => (Why::NotHeld, held),
             Said::TooLate => (Why::TooLate, None),
             Said::Cancelled => (Why::Cancelled, None),
@@ -203,18 +219,18 @@
     }
 
     /// Takes the attempt back: the connection returned it whole, without having written any of it.
-    pub fn unsent(self) -> Attempt<Waiting> {
+    pub fn unsent(self) -> Attempt<Waiting, L> {
         Attempt { label: self.label, state: Waiting(()) }
     }
 
     /// Settles the attempt as unknown.
-    pub fn lost(self, fault: Fault) -> Outcome {
+    pub fn lost<A>(self, fault: Fault) -> Outcome<A> {
         let Handed(()) = self.state;
         Outcome::Unknown(fault)
     }
 
     /// Settles the attempt with what the peer that relayed it reports.
-    pub fn relayed(self, outcome: Outcome) -> Outcome {
+    pub fn relayed<A>(self, outcome: Outcome<A>) -> Outcome<A> {
         outcome
     }
 }
--- a/src/coordination/outlier.rs
+++ b/src/coordination/outlier.rs
@@ -48,6 +48,13 @@
         self.trying = false;
     }
 
+    /// Ejects the upstream at once, for instance because another one has its address.
+    pub fn eject(&mut self, now: Tick) {
+        self.failures = self.failures.max(FAILURES - 1);
+        self.trying = self.ejected();
+        self.failed(now);
+    }
+
     /// Notes a failure; says whether it ejected the upstream.
     pub fn failed(&mut self, now: Tick) -> bool {
         self.failures += 1;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,9 @@
     Attempt, Fault, Handed, Label, NotRun, Outcome, RawAnswer, Said, Waiting, Why,
 };
 pub use coordination::budget::Budget;
+pub use coordination::extras::{ExtraOptions, Extras};
 pub use coordination::fanout::FanOut;
+pub use coordination::learned::{Choice, Learned, pick as pick_server};
 pub use coordination::leases::{Ask, Lease, LeaseOptions, Leases, Share, Verdict};
 pub use coordination::lifecycle::{
     Instance, Leaving, Serving, Starting, StopOptions, Stopped, UnderWay,
@@ -31,10 +33,17 @@
 pub use coordination::roster_change::{
     SILENT, Sightings, bequeath, bury, join, leave, settle_roster, succeed,
 };
+pub use coordination::scatter::{
+    End, Order, Scatter, ScatterOptions, Scene, Verdict as ScatterVerdict,
+};
+pub use coordination::shares::{ColdGate, connections as connection_share};
 pub use coordination::snapshot::choose;
+pub use coordination::split::Draw;
 pub use coordination::tickets::{
     Accepted, Change, Checked, Draft, Head, MOST_BYTES, moves_forward,
 };
+pub use coordination::top::greatest;
+pub use coordination::window::Window;
 pub use protocol::caller::{
     Coverage, MissingShard, Part, QueryAnswer, Refusal, RequestAnswer, Wishes,
 };
@@ -48,7 +57,10 @@
     ticket_key,
 };
 pub use protocol::upstream::{Call, Ended, Target, Told, Upstreams};
-pub use state::arena::{Arena, AttemptKey, FlightKey, Key, ServiceKey, UpstreamKey};
+pub use protocol::wire::{Ask as CallerAsk, Declined, HeadTold, Wire};
+pub use state::arena::{
+    Arena, AttemptKey, FlightKey, Key, PoolKey, RouteKey, ServerKey, ServiceKey, UpstreamKey,
+};
 pub use state::catalog::{Catalog, MapEntry, ServiceEntry, ShardEntry, UpstreamEntry};
 pub use state::findings::{Finding, Findings};
 pub use state::fleet::{
@@ -56,17 +68,23 @@
 };
 pub use state::members::Rosters;
 pub use state::named::Named;
+pub use state::names::Names;
 pub use state::news::{Health, Heard, Held, News};
 pub use state::roster::{BUCKETS, Bucket, Entry, InstanceId, Member, Roster};
+pub use state::picture::{Picture, Server, ServerReport, View};
+pub use state::routes::{CallerLimits, Gathering, PoolBounds, Route, RouteTable, Target as RouteTarget};
 pub use state::sharded::{Sharded, ShardedArena};
 pub use state::ticket::{Remove, Ticket};
 pub use state::time::Tick;
 pub use transport::clock::Clock;
 pub use transport::daemon::run;
-pub use transport::http::{Reply, get, post};
+pub use transport::http::{Client, FullResponse, Reply, get, plain, post, serve as serve_http};
+pub use transport::line_log::init as init_line_log;
 pub use transport::logging::init as init_logging;
 pub use transport::operate::{Ended as CommandEnded, operate};
 pub use transport::platform_http::HttpPlatform;
 pub use transport::platform_memory::MemoryPlatform;
 pub use transport::settings::{Command, LogFormat, Mode, Settings};
+pub use transport::tier::front::{FrontStop, ready, serve as serve_callers};
+pub use transport::tier::{Tier, TierOptions};
 pub use transport::upstream_http::HttpUpstreams;
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -6,3 +6,4 @@
 pub(crate) mod peer;
 pub(crate) mod platform;
 pub(crate) mod upstream;
+pub(crate) mod wire;
--- a/src/state/arena.rs
+++ b/src/state/arena.rs
@@ -41,6 +41,12 @@
     AttemptKey;
     /// Key of a caller's request in flight at this instance.
     FlightKey;
+    /// Key of the servers of one service; the same in all versions of the routes.
+    PoolKey;
+    /// Key of a route; the same in all versions of the routes.
+    RouteKey;
+    /// Key of one run of one server.
+    ServerKey;
 }
 
 #[derive(Clone)]
--- /dev/null
+++ b/src/state/picture.rs
@@ -0,0 +1,226 @@
+//! What an instance believes of routes, servers and failure domains, from the platform or from peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::state::arena::{Arena, PoolKey, ServerKey};
+use crate::state::routes::{PoolBounds, RouteTable};
+use crate::state::time::Tick;
+
+/// Time after the platform's return in which a server whose entry lapsed may register again.
+const REGISTER_TIME: Duration = Duration::from_millis(2_000);
+
+/// What a server says of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerReport {
+    /// Its identity, which a new run may take over.
+    pub id: String,
+    /// When this run started, in milliseconds since the epoch, if told.
+    pub born: Option<u64>,
+    /// The service that it belongs to.
+    pub pool: PoolKey,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its failure domain.
+    pub domain: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// It is leaving.
+    pub draining: bool,
+    /// How much longer it is cold.
+    pub cold_left: Duration,
+}
+
+/// A server as this instance believes it to be.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Server {
+    /// What it last said.
+    pub report: ServerReport,
+    /// Until when it is cold.
+    pub cold_until: Tick,
+    /// When it is given up, if its entry lapsed while the platform was away.
+    pub lapses: Option<Tick>,
+}
+
+/// The routes and servers that one request is answered from.
+#[derive(Clone, Default)]
+pub struct View {
+    /// The routes; `None` until a version is known.
+    pub table: Option<Arc<RouteTable>>,
+    servers: Arena<ServerKey, Server>,
+    pools: IndexMap<PoolKey, Vec<ServerKey>>,
+    evacuated: IndexSet<String>,
+}
+
+impl View {
+    /// Returns a server, unless this run of it is gone.
+    pub fn server(&self, key: ServerKey) -> Option<&Server> {
+        self.servers.get(key)
+    }
+
+    /// Walks over the servers of a service that new work may go to.
+    pub fn open(&self, pool: PoolKey) -> impl Iterator<Item = (ServerKey, &Server)> {
+        let keys = self.pools.get(&pool).map_or(&[][..], Vec::as_slice);
+        keys.iter().filter_map(|key| Some((*key, self.takes_work(*key)?)))
+    }
+
+    /// Returns a server if new work may go to it.
+    pub fn takes_work(&self, key: ServerKey) -> Option<&Server> {
+        let s = self.servers.get(key)?;
+        (!s.report.draining && !self.evacuated.contains(&s.report.domain)).then_some(s)
+    }
+
+    /// Returns what a server of a service bears.
+    pub fn bounds(&self, pool: PoolKey) -> PoolBounds {
+        let table = self.table.as_ref();
+        table.and_then(|t| t.pools.get(&pool)).copied().unwrap_or_default()
+    }
+
+    /// Returns the number of servers known.
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Says whether no server is known.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+}
+
+/// The picture, changed as news comes in; requests use copies of its view.
+#[derive(Default)]
+pub struct Picture {
+    view: View,
+    ids: IndexMap<String, ServerKey>,
+    away_until: Option<Tick>,
+}
+
+impl Picture {
+    /// Returns the view as it is now.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Takes routes in, unless they are not newer; says whether it did.
+    pub fn take_table(&mut self, table: RouteTable) -> bool {
+        if self.view.table.as_ref().is_some_and(|t| t.version >= table.version) {
+            return false;
+        }
+        self.view.table = Some(Arc::new(table));
+        true
+    }
+
+    /// Notes that the platform answers again after an outage, or (`None`) that it is away.
+    ///
+    /// Until a while after its return a missing entry says little of its server.
+    pub fn platform_back(&mut self, now: Tick) {
+        self.away_until = Some(now + REGISTER_TIME);
+    }
+
+    /// Takes in what a server says; says whether that changed anything.
+    pub fn take_server(&mut self, report: ServerReport, now: Tick) -> bool {
+        let cold_until = now + report.cold_left;
+        let known = self.ids.get(&report.id).copied();
+        if let Some(key) = known
+            && let Some(server) = self.view.servers.get_mut(key)
+            && server.report.addr == report.addr
+            && server.report.pool == report.pool
+            && server.report.born == report.born
+        {
+            let changed = server.report != report || server.lapses.is_some();
+            *server = Server { report, cold_until, lapses: None };
+            return changed;
+        }
+        self.drop_server(&report.id);
+        let (id, pool) = (report.id.clone(), report.pool);
+        let key = self.view.servers.insert(Server { report, cold_until, lapses: None });
+        self.ids.insert(id, key);
+        self.view.pools.entry(pool).or_default().push(key);
+        true
+    }
+
+    /// Takes in that a server's entry is gone; says whether that changed anything.
+    pub fn server_gone(&mut self, id: &str, now: Tick) -> bool {
+        match self.away_until {
+            Some(until) if now < until => {
+                let server = self.ids.get(id).and_then(|k| self.view.servers.get_mut(*k));
+                if let Some(server) = server
+                    && server.lapses.is_none()
+                {
+                    server.lapses = Some(until);
+                }
+                false
+            }
+            _ => self.drop_server(id),
+        }
+    }
+
+    /// Takes in the whole list of servers; those that are not in it are gone.
+    pub fn take_servers(&mut self, reports: Vec<ServerReport>, now: Tick) -> bool {
+        let listed: IndexSet<String> = reports.iter().map(|r| r.id.clone()).collect();
+        let missing: Vec<String> =
+            self.ids.keys().filter(|id| !listed.contains(*id)).cloned().collect();
+        let mut changed = false;
+        for id in missing {
+            changed |= self.server_gone(&id, now);
+        }
+        for report in reports {
+            changed |= self.take_server(report, now);
+        }
+        changed
+    }
+
+    /// Gives up servers whose entries lapsed and did not come back; returns how many.
+    pub fn give_up_lapsed(&mut self, now: Tick) -> usize {
+        let due = |s: &Server| s.lapses.is_some_and(|at| at <= now);
+        let gone: Vec<String> = self
+            .view
+            .servers
+            .iter()
+            .filter(|(_, s)| due(s))
+            .map(|(_, s)| s.report.id.clone())
+            .collect();
+        gone.iter().for_each(|id| {
+            self.drop_server(id);
+        });
+        gone.len()
+    }
+
+    /// Sets the failure domains that are taken out; the servers of one that returns count as cold.
+    pub fn set_evacuated(&mut self, domains: IndexSet<String>, now: Tick) -> bool {
+        if domains == self.view.evacuated {
+            return false;
+        }
+        let back: Vec<String> = self.view.evacuated.difference(&domains).cloned().collect();
+        let keys: Vec<ServerKey> = self.ids.values().copied().collect();
+        for key in keys {
+            let Some(server) = self.view.servers.get(key) else { continue };
+            if back.contains(&server.report.domain) {
+                let cold_until = now + self.view.bounds(server.report.pool).cold_for;
+                if let Some(server) = self.view.servers.get_mut(key) {
+                    server.cold_until = server.cold_until.max(cold_until);
+                }
+            }
+        }
+        self.view.evacuated = domains;
+        true
+    }
+
+    /// Returns the failure domains that are taken out.
+    pub fn evacuated(&self) -> &IndexSet<String> {
+        &self.view.evacuated
+    }
+
+    fn drop_server(&mut self, id: &str) -> bool {
+        let Some(key) = self.ids.swap_remove(id) else { return false };
+        if let Some(server) = self.view.servers.remove(key)
+            && let Some(keys) = self.view.pools.get_mut(&server.report.pool)
+        {
+            keys.retain(|k| *k != key);
+        }
+        true
+    }
+}
--- a/src/state/sharded.rs
+++ b/src/state/sharded.rs
@@ -36,6 +36,13 @@
         f(self.shard(key).lock().entry(key).or_insert_with(make))
     }
 
+    /// Keeps only the items whose keys `keep` accepts.
+    pub fn retain(&self, mut keep: impl FnMut(K) -> bool) {
+        for shard in &self.shards {
+            shard.lock().retain(|key, _| keep(*key));
+        }
+    }
+
     /// Runs `f` on every item, one shard's lock at a time.
     pub fn for_each(&self, mut f: impl FnMut(K, &mut T)) {
         for shard in &self.shards {
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -25,7 +25,7 @@
 const MOST_ANSWER: usize = 8 << 20;
 
 /// A response with a whole body.
-pub(crate) type FullResponse = Response<Full<Bytes>>;
+pub type FullResponse = Response<Full<Bytes>>;
 
 /// A body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,7 +53,7 @@
 }
 
 /// Builds a plain text response.
-pub(crate) fn plain(status: u16, text: impl Into<String>) -> FullResponse {
+pub fn plain(status: u16, text: impl Into<String>) -> FullResponse {
     respond(status, "text/plain", text.into().into())
 }
 
@@ -65,7 +65,7 @@
 }
 
 /// Serves HTTP until `stop` fires; requests under way are finished.
-pub(crate) async fn serve<F, R>(listener: TcpListener, stop: CancellationToken, handler: F)
+pub async fn serve<F, R>(listener: TcpListener, stop: CancellationToken, handler: F)
 where
     F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
     R: Future<Output = FullResponse> + Send + 'static,
@@ -152,14 +152,17 @@
 }
 
 /// A connection for one exchange.
-pub(crate) struct Client {
+pub struct Client {
     send: SendRequest<Full<Bytes>>,
     _task: AbortOnDrop,
 }
 
 impl Client {
     /// Opens a connection.
-    pub(crate) async fn open(addr: SocketAddr, wait: Duration) -> Result<Self> {
+    ///
+    /// # Errors
+    /// When none could be opened within `wait`.
+    pub async fn open(addr: SocketAddr, wait: Duration) -> Result<Self> {
         let open = async {
             let stream = TcpStream::connect(addr).await?;
             stream.set_nodelay(true)?;
@@ -174,7 +177,10 @@
     }
 
     /// Sends a request; after an error it may have taken effect.
-    pub(crate) async fn send(mut self, req: Request<Full<Bytes>>, wait: Duration) -> Result<Reply> {
+    ///
+    /// # Errors
+    /// When no whole answer came within `wait`.
+    pub async fn send(mut self, req: Request<Full<Bytes>>, wait: Duration) -> Result<Reply> {
         let exchange = async { read_reply(self.send.send_request(req).await?).await };
         tokio::time::timeout(wait, exchange).await.context("no answer in time")?
     }
