--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod admission;
 pub(crate) mod attempt;
 pub(crate) mod budget;
+pub(crate) mod darkness;
 pub(crate) mod extras;
 pub(crate) mod fanout;
 pub(crate) mod learned;
--- a/src/coordination/scatter.rs
+++ b/src/coordination/scatter.rs
@@ -20,6 +20,8 @@
     fn spend(&mut self, pool: PoolKey, now: Tick) -> bool;
     /// Returns the time after which a server's answer is overdue.
     fn overdue(&mut self, server: ServerKey) -> Duration;
+    /// Notes that a server's answer is overdue.
+    fn missed(&mut self, server: ServerKey, now: Tick);
 }
 
 /// Bounds of one request.
@@ -89,6 +91,7 @@
     arrived: usize,
     flying: u32,
     hedge_at: Option<Tick>,
+    late: Option<ServerKey>,
     stage: Stage,
 }
 
@@ -109,6 +112,7 @@
             arrived: 0,
             flying: 0,
             hedge_at: None,
+            late: None,
             stage: Stage::Open,
         };
         let shards = opts.shards.iter().map(shard).collect();
@@ -135,6 +139,7 @@
         shard.avoid.push(server);
         shard.arrived += 1;
         shard.flying += 1;
+        shard.late = Some(server);
         let hedged = self.opts.idempotent && shard.arrived < self.opts.attempts;
         shard.hedge_at = hedged.then(|| now + scene.overdue(server));
         Some(Order { shard: place, server })
@@ -182,6 +187,9 @@
                 continue;
             }
             shard.hedge_at = Some(now + ASK_AGAIN);
+            if let Some(late) = shard.late.take() {
+                scene.missed(late, now);
+            }
             orders.extend(self.send(place, scene, now));
         }
         orders
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
     Attempt, Fault, Handed, Label, NotRun, Outcome, RawAnswer, Said, Waiting, Why,
 };
 pub use coordination::budget::Budget;
+pub use coordination::darkness::Darkness;
 pub use coordination::extras::{ExtraOptions, Extras};
 pub use coordination::fanout::FanOut;
 pub use coordination::learned::{Choice, Learned, pick as pick_server};
--- a/src/transport/tier/conns.rs
+++ b/src/transport/tier/conns.rs
@@ -5,7 +5,6 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use anyhow::Context;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -27,6 +26,11 @@
 /// Time before a server's own idle limit from which a connection is not used any more.
 const IDLE_MARGIN: Duration = Duration::from_millis(400);
 
+/// Idle time after which a connection beyond the first is closed.
+const SURPLUS_IDLE: Duration = Duration::from_secs(2);
+/// Time for which no further connection is opened to a server that closed a new one.
+const FULL_TIME: Duration = Duration::from_millis(500);
+
 /// The right to one connection; given back when dropped.
 #[derive(Debug)]
 pub(crate) struct Permit(Arc<Gauge>);
@@ -79,6 +83,7 @@
 pub(crate) struct Conns {
     idle: Vec<Conn>,
     gauge: Arc<Gauge>,
+    full_until: Tick,
     pub(crate) trip: Option<Duration>,
 }
 
@@ -86,11 +91,14 @@
     /// Takes a kept connection, or the right to open one below `most`.
     pub(crate) fn take(&mut self, most: u32, now: Tick) -> Got {
         self.idle.retain(|c| c.usable(now));
+        if self.idle.len() > 1 && now.since(self.idle[0].used) > SURPLUS_IDLE {
+            self.idle.remove(0);
+        }
         if let Some(conn) = self.idle.pop() {
             return Got::Kept(conn);
         }
         let open = self.gauge.open.load(Ordering::Relaxed);
-        if open >= most {
+        if open >= most || open > 0 && now < self.full_until {
             return Got::Busy(Freed(self.gauge.clone()));
         }
         self.gauge.open.fetch_add(1, Ordering::Relaxed);
@@ -105,6 +113,13 @@
         self.gauge.freed.notify_one();
     }
 
+    /// Notes that the server closed a connection without an answer; if it was `fresh`, it has too many.
+    pub(crate) fn closed(&mut self, fresh: bool, now: Tick) {
+        if fresh {
+            self.full_until = now + FULL_TIME;
+        }
+    }
+
     /// Closes all idle connections, for instance because one of them has gone silent.
     pub(crate) fn forget(&mut self) {
         self.idle.clear();
@@ -129,7 +144,7 @@
             tune(&stream)?;
             anyhow::Ok(handshake(TokioIo::new(stream)).await?)
         };
-        let (send, conn) = timeout(CONNECT_TIMEOUT, open).await.context("timed out")??;
+        let (send, conn) = timeout(CONNECT_TIMEOUT, open).await??;
         let task = tokio::spawn(async move {
             if let Err(e) = conn.await {
                 log::debug!("connection to {addr} ended: {e}");
--- a/src/transport/tier/mod.rs
+++ b/src/transport/tier/mod.rs
@@ -11,12 +11,14 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use parking_lot::{Mutex, RwLock};
 
+use crate::coordination::darkness::Darkness;
 use crate::coordination::extras::{ExtraOptions, Extras};
 use crate::coordination::learned::Learned;
 use crate::coordination::quantile::Quantile;
+use crate::coordination::shares;
 use crate::coordination::split::Draw;
 use crate::protocol::wire::Wire;
 use crate::state::arena::{PoolKey, RouteKey, ServerKey};
@@ -53,7 +55,7 @@
             extras: ExtraOptions::default(),
             cold: (1.0, 0.0),
             instances: 16, // today's fleets have 8 or 9, and 4 to come
-            caller_trip: Duration::from_millis(4),
+            caller_trip: Duration::from_millis(8),
             stop: front::FrontStop::default(),
         }
     }
@@ -86,6 +88,7 @@
     pub(crate) routes: Sharded<RouteKey, RouteStats>,
     pub(crate) extras: Sharded<PoolKey, Extras>,
     pub(crate) meters: Meters,
+    domains: Mutex<IndexMap<String, Darkness>>,
     picture: Mutex<Picture>,
     view: RwLock<Arc<View>>,
     instances: AtomicUsize,
@@ -105,6 +108,7 @@
             routes: Sharded::default(),
             extras: Sharded::default(),
             meters: Meters::default(),
+            domains: Mutex::default(),
             picture: Mutex::default(),
             view: RwLock::default(),
             leaving: AtomicBool::new(false),
@@ -126,6 +130,14 @@
         self.instances.load(Ordering::Relaxed)
     }
 
+    /// Returns the connections that this instance may have to a server that takes `limit` of them.
+    ///
+    /// A server may still count those of this instance's former run, so a young process has one.
+    pub(crate) fn connections(&self, limit: u32, now: Tick) -> u32 {
+        let young = now.since(Tick::default()) < self.opts.extras.span;
+        if young { 1 } else { shares::connections(limit, self.instances()) }
+    }
+
     /// Sets the number of instances that share limits with this one, itself included.
     pub fn set_instances(&self, count: usize) {
         let before = self.instances.swap(count.max(1), Ordering::Relaxed);
@@ -148,6 +160,23 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Runs `f` on what is known of a failure domain, and logs it when that domain goes dark or back.
+    pub(crate) fn domain<R>(&self, name: &str, f: impl FnOnce(&mut Darkness) -> R) -> R {
+        let mut domains = self.domains.lock();
+        if !domains.contains_key(name) {
+            domains.insert(name.to_owned(), Darkness::default());
+        }
+        let domain = &mut domains[name];
+        let before = domain.dark();
+        let result = f(domain);
+        let dark = domain.dark();
+        drop(domains);
+        if before != dark {
+            log::info!(domain = name, dark; "failure domain");
+        }
+        result
+    }
+
     /// Changes the picture; requests see it when `change` says that it did.
     fn change(&self, change: impl FnOnce(&mut Picture, Tick) -> bool) -> bool {
         let mut picture = self.picture.lock();
--- a/src/transport/tier/scene.rs
+++ b/src/transport/tier/scene.rs
@@ -59,6 +59,7 @@
     fn choice(&self, key: ServerKey, server: &Server, pool: PoolKey, now: Tick) -> Choice {
         let far = server.report.domain != self.tier.opts.domain;
         let bounds = self.view.bounds(pool);
+        let lit = self.tier.domain(&server.report.domain, |d| d.admits(now));
         self.tier.live.with_or(key, Live::default, |live| {
             let cold = now < server.cold_until.max(live.learned.cold_until());
             let admitted = !cold || {
@@ -70,7 +71,7 @@
                 expected: live.learned.expected(self.times.usual, server.report.slots, cold, now),
                 trip: self.trip(live, server) + if far { FAR_COST } else { Duration::ZERO },
                 bears: admitted,
-                sound: live.learned.outlier.admits(true, now),
+                sound: lit && live.learned.outlier.admits(true, now),
             }
         })
     }
@@ -89,7 +90,10 @@
             .filter(|(key, _)| !avoid.contains(key))
             .map(|(key, server)| self.choice(key, server, pool, now))
             .collect();
-        pick(&choices, !avoid.is_empty(), || rand::rng().random())
+        let server = pick(&choices, !avoid.is_empty(), || rand::rng().random())?;
+        let known = self.view.server(server)?;
+        self.tier.domain(&known.report.domain, |d| d.sent());
+        Some(server)
     }
 
     fn request(&mut self, pool: PoolKey, now: Tick) {
@@ -104,6 +108,12 @@
         ok
     }
 
+    fn missed(&mut self, server: ServerKey, now: Tick) {
+        if let Some(known) = self.view.server(server) {
+            self.tier.domain(&known.report.domain, |d| d.overdue(now));
+        }
+    }
+
     fn overdue(&mut self, server: ServerKey) -> Duration {
         let Some(known) = self.view.server(server) else { return self.times.overdue };
         let trip = self.tier.live.with_or(server, Live::default, |live| self.trip(live, known));
--- a/src/transport/tier/send.rs
+++ b/src/transport/tier/send.rs
@@ -7,11 +7,11 @@
 use http_body_util::Full;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request, StatusCode, http::request::Parts};
+use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
 use crate::coordination::attempt::{Attempt, Fault, Handed, Outcome, Said, Waiting, Why};
 use crate::coordination::scatter::End;
-use crate::coordination::shares;
 use crate::protocol::wire::HeadTold;
 use crate::state::arena::ServerKey;
 use crate::state::picture::View;
@@ -118,8 +118,8 @@
         let view = tier.view();
         let Some(server) = view.takes_work(key) else { return Err("server_left") };
         let bounds = view.bounds(server.report.pool);
-        let most = shares::connections(bounds.connections, tier.instances());
         let now = tier.now();
+        let most = tier.connections(bounds.connections, now);
         match tier.live.with_or(key, Live::default, |l| l.conns.take(most, now)) {
             Got::Kept(conn) => return Ok(conn),
             Got::Busy(freed) => {
@@ -160,6 +160,9 @@
                 l.learned.refused();
                 l.learned.failed(now);
             });
+            if e.is::<Elapsed>() {
+                note_silence(tier, key, now);
+            }
             Err("not_connected")
         }
     }
@@ -201,7 +204,11 @@
             handed.lost(Fault::Timeout)
         }
         Ok(Err(true)) => return Err(handed.unsent()),
-        Ok(Err(false)) => handed.lost(Fault::Lost),
+        Ok(Err(false)) => {
+            let now = tier.now();
+            tier.live.with(key, |l| l.conns.closed(!conn.reused, now));
+            handed.lost(Fault::Lost)
+        }
         Ok(Ok((reply, told))) => {
             let now = tier.now();
             conn.idle_limit = told.keeps_idle.or(conn.idle_limit);
@@ -223,6 +230,13 @@
     req
 }
 
+/// Notes that a server's failure domain may be silent.
+fn note_silence(tier: &Tier, key: ServerKey, now: Tick) {
+    if let Some(server) = tier.view().server(key) {
+        tier.domain(&server.report.domain, |d| d.silent(now));
+    }
+}
+
 fn note_failure(tier: &Tier, key: ServerKey, outcome: Outcome<Answer>) -> Landed {
     let now = tier.now();
     let reason = match outcome {
@@ -232,6 +246,9 @@
         _ => "server_error",
     };
     tier.live.with(key, |l| l.learned.failed(now));
+    if reason == "no_answer" {
+        note_silence(tier, key, now);
+    }
     Landed { end: End::Failed, answer: None, took: None, reason }
 }
 
@@ -246,6 +263,9 @@
     took: Duration,
 ) -> Landed {
     let now = tier.now();
+    if let Some(server) = tier.view().server(key) {
+        tier.domain(&server.report.domain, |d| d.answered());
+    }
     if let Some((queue, slots)) = told.load {
         tier.live.with(key, |l| l.learned.told(queue, slots, now));
     }
