Refuse at once and report not ready when too few shards can be reached

Cause: in a cut a zone's instances held requests that they could not answer; their clients stayed with them. Ruled out: the budget (no denials there).

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod outlier;
 pub(crate) mod quantile;
 pub(crate) mod query;
+pub(crate) mod reach;
 pub(crate) mod scatter;
 pub(crate) mod shares;
 pub(crate) mod snapshot;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub use coordination::outlier::Outlier;
 pub use coordination::quantile::Quantile;
 pub use coordination::query::{Answer, Missing};
+pub use coordination::reach::unreachable;
 pub use coordination::scatter::{End, Order, Scatter, ScatterOptions, Scene, Verdict};
 pub use coordination::shares::{ColdGate, connections};
 pub use coordination::snapshot::choose;
@@ -74,4 +75,5 @@
 pub use transport::settings::{Command, LogFormat, Settings};
 pub use transport::store::http::HttpPlatform;
 pub use transport::store::memory::MemoryPlatform;
+pub use transport::upstreams::probe::run as run_probes;
 pub use transport::upstreams::tier::{Tier, TierOptions};
--- a/src/transport/callers/front.rs
+++ b/src/transport/callers/front.rs
@@ -128,7 +128,7 @@
     let service = service_fn(move |req: Request<Incoming>| {
         let arrival = Arrival { at: tier.now(), first: first.swap(false, Ordering::Relaxed) };
         let (tier, answer) = (tier.clone(), handler.clone().answer(req, arrival));
-        async move { Ok::<_, Infallible>(close_if_leaving(&tier, answer.await)) }
+        async move { Ok::<_, Infallible>(close_if_not_ready(&tier, answer.await)) }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -148,9 +148,10 @@
     }
 }
 
-/// Tells the caller to open its next connection elsewhere once this instance is leaving.
-fn close_if_leaving(tier: &Tier, mut res: FullResponse) -> FullResponse {
-    if tier.leaving() {
+/// Tells the caller to open its next connection elsewhere while this instance is leaving or can not
+/// serve.
+fn close_if_not_ready(tier: &Tier, mut res: FullResponse) -> FullResponse {
+    if tier.leaving() || !tier.able() {
         res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     res
--- a/src/transport/callers/pass.rs
+++ b/src/transport/callers/pass.rs
@@ -24,6 +24,8 @@
 
 /// Time to ask again after a refusal: servers that shed have a free slot soon.
 const REFUSED_AFTER: Duration = Duration::from_millis(60);
+/// Time to ask again after a refusal for want of reachable servers: another instance may reach them.
+const CUT_AFTER: Duration = Duration::from_millis(10);
 /// Trips between caller and instance that count for the first request of a connection: one for the
 /// request, one for the answer, and a round trip for the connection.
 const FIRST_TRIPS: u32 = 4;
@@ -78,6 +80,11 @@
         let view = self.tier.view();
         let table = view.table.clone().ok_or(Declined::NoRoutes)?;
         let route = find(&table, &req).ok_or(Declined::NoRoute)?;
+        let recent = |s: &mut RouteStats| s.recent.add(arrival.at);
+        self.tier.routes.with_or(route.key, RouteStats::default, recent);
+        if self.tier.refuses(route) {
+            return Err(Declined::NotRun { after: CUT_AFTER });
+        }
         let (head, body) = req.into_parts();
         let body = read_body(body, table.limits.body_bytes).await.map_err(|e| match e {
             BodyError::TooLarge => Declined::TooLarge,
--- a/src/transport/process/daemon.rs
+++ b/src/transport/process/daemon.rs
@@ -21,6 +21,7 @@
 use crate::transport::store::http::HttpPlatform;
 use crate::transport::store::memory::MemoryPlatform;
 use crate::transport::store::watches;
+use crate::transport::upstreams::probe;
 
 /// Time that listeners get to end once the instance has stopped.
 const END: Duration = Duration::from_secs(1);
@@ -75,6 +76,7 @@
         tokio::spawn(beats::run(node.peers.clone())),
         tokio::spawn(watches::follow_head(node.clone())),
         tokio::spawn(watches::follow_list(node.clone())),
+        tokio::spawn(probe::run(node.tier.clone())),
     ];
     let asked = stop.clone();
     tokio::spawn(async move {
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -15,6 +15,7 @@
 use crate::coordination::quantile::Quantile;
 use crate::coordination::shares;
 use crate::coordination::split::Draw;
+use crate::coordination::window::Window;
 use crate::protocol::wire::ServerWire;
 use crate::state::arena::{PoolKey, RouteKey, ServerKey};
 use crate::state::names::Names;
@@ -26,6 +27,9 @@
 use crate::transport::metrics::Meters;
 use crate::transport::upstreams::conns::Conns;
 
+/// Span over which a route's requests count as recent.
+const RECENT: Duration = Duration::from_secs(10);
+
 /// Settings of the tier.
 #[derive(Clone, Debug)]
 pub struct TierOptions {
@@ -73,12 +77,24 @@
 }
 
 /// What is known of a route.
-#[derive(Default)]
 pub(crate) struct RouteStats {
     pub(crate) times: Quantile,
     pub(crate) draw: Option<Draw>,
     pub(crate) longest_wait: Duration,
     pub(crate) limiter: Limiter,
+    pub(crate) recent: Window,
+}
+
+impl Default for RouteStats {
+    fn default() -> Self {
+        Self {
+            times: Quantile::default(),
+            draw: None,
+            longest_wait: Duration::ZERO,
+            limiter: Limiter::default(),
+            recent: Window::new(RECENT),
+        }
+    }
 }
 
 /// The shared state of the tier.
@@ -98,6 +114,7 @@
     view: RwLock<Arc<View>>,
     instances: AtomicUsize,
     leaving: AtomicBool,
+    able: AtomicBool,
     flights: AtomicUsize,
 }
 
@@ -118,6 +135,7 @@
             picture: Mutex::default(),
             view: RwLock::default(),
             leaving: AtomicBool::new(false),
+            able: AtomicBool::new(true),
             flights: AtomicUsize::new(0),
         }
     }
@@ -154,9 +172,26 @@
         }
     }
 
-    /// Says whether this instance takes requests: it knows routes and is not leaving.
+    /// Says whether this instance takes requests: it knows routes, reaches enough servers and is not
+    /// leaving.
     pub fn ready(&self) -> bool {
-        !self.leaving() && self.view.read().table.is_some()
+        !self.leaving() && self.able() && self.view.read().table.is_some()
+    }
+
+    /// Says whether this instance reaches enough servers to answer.
+    pub fn able(&self) -> bool {
+        self.able.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether this instance reaches enough servers; returns what was so before.
+    pub(crate) fn set_able(&self, able: bool) -> bool {
+        self.able.swap(able, Ordering::Relaxed)
+    }
+
+    /// Returns the failure domains that are dark.
+    pub(crate) fn dark_domains(&self) -> Vec<String> {
+        let domains = self.domains.lock();
+        domains.iter().filter(|(_, d)| d.dark()).map(|(name, _)| name.clone()).collect()
     }
 
     /// Says whether this instance is leaving.
--- a/tests/beliefs.rs
+++ b/tests/beliefs.rs
@@ -8,8 +8,9 @@
 use indexmap::IndexMap;
 use support::ms;
 use tamarackdeck::{
-    Darkness, Doc, Docs, Draw, Entries, InstanceId, Key, Member, Members, Names, Picture,
-    PoolBounds, PoolKey, Route, RouteTable, ServerReport, Target, greatest,
+    Darkness, Doc, Docs, Draw, Entries, Gathering, InstanceId, Key, Member, Members, Names,
+    Picture, PoolBounds, PoolKey, Route, RouteTable, Server, ServerReport, Target, greatest,
+    unreachable,
 };
 
 struct EntryCase {
@@ -407,3 +408,61 @@
         assert!(darkness.admits(ms(5_000)), "{}: tried again later", case.name);
     }
 }
+
+struct ReachCase {
+    name: &'static str,
+    /// Domains of the servers of each shard.
+    shards: &'static [&'static [&'static str]],
+    least: f64,
+    unreachable: bool,
+}
+
+const REACHES: &[ReachCase] = &[
+    ReachCase {
+        name: "a replica of each shard is lit",
+        shards: &[&["lit", "dark"], &["dark", "lit"]],
+        least: 1.0,
+        unreachable: false,
+    },
+    ReachCase {
+        name: "the least share is lit",
+        shards: &[&["lit"], &["lit"], &["lit"], &["dark", "dark"]],
+        least: 0.75,
+        unreachable: false,
+    },
+    ReachCase {
+        name: "less than the least share is lit",
+        shards: &[&["lit"], &["lit"], &["dark"], &["dark", "dark"]],
+        least: 0.75,
+        unreachable: true,
+    },
+    ReachCase {
+        name: "a shard without servers is no other instance's either",
+        shards: &[&["lit"], &["lit"], &[], &[]],
+        least: 0.75,
+        unreachable: false,
+    },
+    ReachCase { name: "nothing is lit", shards: &[&["dark"]], least: 0.1, unreachable: true },
+];
+
+#[test]
+fn a_route_is_unreachable_when_too_few_shards_are_lit() {
+    for case in REACHES {
+        let names = Names::default();
+        let mut picture = Picture::default();
+        let (mut reports, mut shards) = (Vec::new(), Vec::new());
+        for (n, domains) in case.shards.iter().enumerate() {
+            let pool = names.pool(&n.to_string());
+            shards.push(pool);
+            for (m, domain) in domains.iter().enumerate() {
+                let server = report(&format!("{n}-{m}"), pool, "127.0.0.1:9", 1);
+                reports.push(ServerReport { domain: (*domain).into(), ..server });
+            }
+        }
+        picture.take_servers(reports, ms(0));
+        let target = Target::Gather(Gathering { shards, top: 1, least: case.least });
+        let route = Route { target, ..route(&names, "r", "h", "/") };
+        let lit = |s: &Server| s.report.domain == "lit";
+        assert_eq!(unreachable(&route, picture.view(), lit), case.unreachable, "{}", case.name);
+    }
+}
