--- a/src/coordination/darkness.rs
+++ b/src/coordination/darkness.rs
@@ -8,6 +8,8 @@
 
 /// Misses without an answer from the domain between them from which on it counts as dark.
 const DARK: u32 = 8;
+/// Misses that a refused connection counts for.
+const REFUSED: u32 = 2;
 /// Misses that a request without an answer, or a connection that did not open in time, counts for.
 const SILENCE: u32 = 3;
 
@@ -24,6 +26,11 @@
         self.miss(1, now);
     }
 
+    /// Notes that a connection was refused.
+    pub fn refused(&mut self, now: Tick) {
+        self.miss(REFUSED, now);
+    }
+
     /// Notes that a request got no answer at all.
     pub fn silent(&mut self, now: Tick) {
         self.miss(SILENCE, now);
--- a/src/transport/upstreams/send.rs
+++ b/src/transport/upstreams/send.rs
@@ -13,6 +13,7 @@
 use crate::coordination::attempt::{
     Attempt, Fault, Handed, Outcome, RawAnswer, Said, Waiting, Why,
 };
+use crate::coordination::darkness::Darkness;
 use crate::coordination::learned::RunTold;
 use crate::coordination::scatter::End;
 use crate::protocol::wire::{HeadTold, Outgoing};
@@ -196,6 +197,8 @@
                 });
                 if e.is::<Elapsed>() {
                     self.note_silence(now);
+                } else {
+                    self.note_domain(|d| d.refused(now));
                 }
                 Err(Why::NotConnected)
             }
@@ -275,8 +278,12 @@
 
     /// Notes that the server's failure domain may be silent.
     fn note_silence(&self, now: Tick) {
+        self.note_domain(|d| d.silent(now));
+    }
+
+    fn note_domain(&self, note: impl FnOnce(&mut Darkness)) {
         if let Some(server) = self.tier.view().server(self.key) {
-            self.tier.domain(&server.report.domain, |d| d.silent(now));
+            self.tier.domain(&server.report.domain, note);
         }
     }
 
--- a/tests/beliefs.rs
+++ b/tests/beliefs.rs
@@ -379,6 +379,12 @@
     },
     DarkCase { name: "many overdue", steps: |d| (0..8).for_each(|_| d.overdue(ms(1))), dark: true },
     DarkCase { name: "some silent", steps: |d| (0..3).for_each(|_| d.silent(ms(1))), dark: true },
+    DarkCase {
+        name: "three refused",
+        steps: |d| (0..3).for_each(|_| d.refused(ms(1))),
+        dark: false,
+    },
+    DarkCase { name: "four refused", steps: |d| (0..4).for_each(|_| d.refused(ms(1))), dark: true },
     DarkCase {
         name: "an answer between",
         steps: |d| {
