Misses of one moment do not make a failure domain dark

Cause: incident inc-b94a logged domains dark and lit again within 3 ms: ten shards of one query overdue in one tick, by the instance's own pause.

--- a/src/coordination/darkness.rs
+++ b/src/coordination/darkness.rs
@@ -3,11 +3,15 @@
 //! In a cut every server of a domain falls silent at once. Without this, each of them would have to
 //! fail on its own, and a query over many shards would meet one of them for a long time.
 
+use std::time::Duration;
+
 use crate::coordination::outlier::Outlier;
 use crate::state::time::Tick;
 
 /// Misses without an answer from the domain between them from which on it counts as dark.
 const DARK: u32 = 8;
+/// Time over which the misses must be spread: those of one moment may be this instance's own pause.
+const SPREAD: Duration = Duration::from_millis(50);
 /// Misses that a refused connection counts for.
 const REFUSED: u32 = 2;
 /// Misses that a request without an answer, or a connection that did not open in time, counts for.
@@ -17,6 +21,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Darkness {
     misses: u32,
+    first: Tick,
     outlier: Outlier,
 }
 
@@ -37,8 +42,11 @@
     }
 
     fn miss(&mut self, count: u32, now: Tick) {
+        if self.misses == 0 {
+            self.first = now;
+        }
         self.misses = self.misses.saturating_add(count);
-        if self.misses >= DARK {
+        if self.misses >= DARK && now.since(self.first) >= SPREAD {
             self.misses = 0;
             self.outlier.eject(now);
         }
