--- a/src/coordination/limiter.rs
+++ b/src/coordination/limiter.rs
@@ -8,7 +8,7 @@
 
 use crate::state::time::Tick;
 
-/// Requests at an upstream's steward for each slot, on average over a query's upstreams, from which on
+/// Requests at an upstream for each slot, on average over a query's upstreams, from which on
 /// the queues count as long.
 const LONG: f64 = 4.0;
 /// Weight of one query in the moving mean of what queries see.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,4 +1,4 @@
-//! Plain types and tables: time, keys, arenas, the fleet's configuration, rosters and news.
+//! Plain types and tables: time, keys, arenas, configuration, routes, servers, members, documents.
 //!
 //! Nothing here names a socket, a codec or a wall clock.
 
--- a/src/transport/callers/front.rs
+++ b/src/transport/callers/front.rs
@@ -132,7 +132,7 @@
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_time)
+        .header_read_timeout(limits.idle_time.max(limits.header_time))
         .max_buf_size(limits.header_bytes.max(LEAST_HEADER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut conn = std::pin::pin!(conn);
--- a/src/transport/upstreams/mod.rs
+++ b/src/transport/upstreams/mod.rs
@@ -1,6 +1,7 @@
 //! Towards servers: connections, one send, the scatter of one request, and what all requests share.
 
 pub(crate) mod conns;
+pub(crate) mod judge;
 pub(crate) mod probe;
 pub(crate) mod run;
 pub(crate) mod scene;
--- a/src/transport/upstreams/send.rs
+++ b/src/transport/upstreams/send.rs
@@ -1,4 +1,4 @@
-//! One request sent to one server: connection, exchange, and what its end proves.
+//! One request sent to one server: connection and exchange.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,16 +10,12 @@
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
-use crate::coordination::attempt::{
-    Attempt, Fault, Handed, Outcome, RawAnswer, Said, Waiting, Why,
-};
-use crate::coordination::darkness::Darkness;
-use crate::coordination::learned::RunTold;
+use crate::coordination::attempt::{Attempt, Fault, Waiting, Why};
 use crate::coordination::scatter::End;
-use crate::protocol::wire::{HeadTold, Outgoing};
+use crate::protocol::wire::Outgoing;
 use crate::state::arena::ServerKey;
 use crate::state::time::Tick;
-use crate::transport::http::{self, Reply};
+use crate::transport::http;
 use crate::transport::upstreams::conns::{Conn, Got};
 use crate::transport::upstreams::scene::Times;
 use crate::transport::upstreams::tier::{Live, Tier};
@@ -63,7 +59,7 @@
 }
 
 impl Landed {
-    fn new(end: End) -> Self {
+    pub(crate) fn new(end: End) -> Self {
         Self { end, server: String::new(), answer: None, took: None }
     }
 
@@ -116,11 +112,12 @@
     landed
 }
 
-struct Sender<'a> {
-    tier: &'a Tier,
-    asked: &'a Asked,
-    shard: usize,
-    key: ServerKey,
+/// One send of a request to a server of a shard.
+pub(crate) struct Sender<'a> {
+    pub(crate) tier: &'a Tier,
+    pub(crate) asked: &'a Asked,
+    pub(crate) shard: usize,
+    pub(crate) key: ServerKey,
 }
 
 impl Sender<'_> {
@@ -140,7 +137,7 @@
         }
     }
 
-    fn live<R>(&self, f: impl FnOnce(&mut Live) -> R) -> Option<R> {
+    pub(crate) fn live<R>(&self, f: impl FnOnce(&mut Live) -> R) -> Option<R> {
         self.tier.live.with(self.key, f)
     }
 
@@ -275,88 +272,4 @@
         *req.headers_mut() = self.tier.wire.forward(out, self.shard, id, left);
         req
     }
-
-    /// Notes that the server's failure domain may be silent.
-    fn note_silence(&self, now: Tick) {
-        self.note_domain(|d| d.silent(now));
-    }
-
-    fn note_domain(&self, note: impl FnOnce(&mut Darkness)) {
-        if let Some(server) = self.tier.view().server(self.key) {
-            self.tier.domain(&server.report.domain, note);
-        }
-    }
-
-    fn failed(&self, outcome: Outcome<Answer>) -> Landed {
-        let now = self.tier.now();
-        let fault = if let Outcome::Unknown(fault) = outcome { fault } else { Fault::Upstream };
-        self.live(|l| l.learned.failed(now));
-        if fault == Fault::Timeout {
-            self.note_silence(now);
-        }
-        Landed::new(End::Failed(fault))
-    }
-
-    /// Judges a whole answer.
-    fn settle(
-        &self,
-        handed: Attempt<Handed>,
-        reply: Reply,
-        told: HeadTold,
-        took: Duration,
-    ) -> Landed {
-        let now = self.tier.now();
-        self.hear(&told, now);
-        if let Some(said) = told.said {
-            return self.not_run(handed, said, now);
-        }
-        let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
-        let came = reply.body.len();
-        let answer =
-            Answer { status, headers: reply.headers, body: reply.body, signature: told.signature };
-        let raw = RawAnswer { label: told.label, length: told.length, came, answer };
-        match handed.answer(raw) {
-            Outcome::Answer(answer) if told.counts => {
-                let usual = self.asked.times.usual;
-                let trip = self.live(|l| {
-                    let trip = l.conns.trip.unwrap_or_default();
-                    l.learned.answered(took.saturating_sub(trip), usual, now);
-                    trip
-                });
-                let took = Some(took.saturating_sub(trip.unwrap_or_default()));
-                Landed { answer: Some(answer), took, ..Landed::new(End::Answered) }
-            }
-            Outcome::Answer(answer) => {
-                let failed = self.failed(Outcome::Unknown(Fault::Upstream));
-                Landed { answer: Some(answer), ..failed }
-            }
-            outcome => self.failed(outcome),
-        }
-    }
-
-    /// Takes in what the head of an answer tells of the server.
-    fn hear(&self, told: &HeadTold, now: Tick) {
-        let view = self.tier.view();
-        let Some(server) = view.server(self.key) else { return };
-        self.tier.domain(&server.report.domain, |d| d.answered());
-        let cold_for = view.server_bounds(server).cold_for;
-        let run = RunTold { boot: told.boot, held: told.held, draining: told.draining };
-        self.live(|l| {
-            if let Some((queue, slots)) = told.load {
-                l.learned.told(queue, slots, now);
-            }
-            l.learned.told_run(run, cold_for, now);
-        });
-    }
-
-    fn not_run(&self, handed: Attempt<Handed>, said: Said, now: Tick) -> Landed {
-        let outcome: Outcome<Answer> = handed.said(said);
-        let why = if let Outcome::NotRun(refusal) = &outcome { refusal.why() } else { Why::Shed };
-        self.live(|l| match why {
-            Why::Replaced => l.learned.outlier.eject(now),
-            Why::Shed => l.learned.shed(now),
-            _ => l.learned.outlier.neither(),
-        });
-        Landed::new(End::NotRun(why))
-    }
 }
