--- a/src/coordination/query.rs
+++ b/src/coordination/query.rs
@@ -18,6 +18,17 @@
     Failed(Fault),
 }
 
+impl Missing {
+    /// Returns a word for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Missing::Deadline => "deadline",
+            Missing::Refused(why) => why.name(),
+            Missing::Failed(fault) => fault.name(),
+        }
+    }
+}
+
 /// The answer to a query.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Answer {
--- a/src/coordination/scatter.rs
+++ b/src/coordination/scatter.rs
@@ -247,6 +247,16 @@
         }
     }
 
+    /// Returns the servers that a shard was sent to.
+    pub fn asked(&self, place: usize) -> &[ServerKey] {
+        &self.shards[place].avoid
+    }
+
+    /// Returns the service of a shard.
+    pub fn pool(&self, place: usize) -> PoolKey {
+        self.shards[place].pool
+    }
+
     /// Returns the places of the shards that are not in, and why.
     pub fn missing(&self) -> Vec<(usize, Missing)> {
         let shards = self.shards.iter().enumerate().filter(|(_, s)| s.stage != Stage::In);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -71,7 +71,7 @@
 pub use transport::peers::server::serve as serve_peers;
 pub use transport::peers::{PeerOptions, Peers, Taker};
 pub use transport::process::daemon::run;
-pub use transport::process::logging::{LogOptions, init as init_log};
+pub use transport::process::logging::{LogOptions, init as init_log, render as render_log};
 pub use transport::settings::{Command, LogFormat, Settings};
 pub use transport::store::http::HttpPlatform;
 pub use transport::store::memory::MemoryPlatform;
--- a/src/transport/callers/pass.rs
+++ b/src/transport/callers/pass.rs
@@ -57,8 +57,8 @@
         self.tier.meters.requests.with_label_values(&[outcome]).inc();
         self.tier.meters.seconds.observe(took.as_secs_f64());
         result.unwrap_or_else(|declined| {
-            let ms = took.as_millis() as u64;
-            log::warn!(request = id.as_str(), outcome, ms; "request declined");
+            let took_ms = took.as_millis() as u64;
+            log::warn!(request = id.as_str(), outcome, took_ms; "request declined");
             self.decline(declined)
         })
     }
@@ -83,6 +83,8 @@
         let recent = |s: &mut RouteStats| s.recent.add(arrival.at);
         self.tier.routes.with_or(route.key, RouteStats::default, recent);
         if self.tier.refuses(route) {
+            let (id, dark) = (ask.id.as_str(), self.tier.dark_domains().join(","));
+            log::info!(request = id, dark = dark.as_str(); "refused: too few shards can be reached");
             return Err(Declined::NotRun { after: CUT_AFTER });
         }
         let (head, body) = req.into_parts();
--- a/src/transport/process/logging.rs
+++ b/src/transport/process/logging.rs
@@ -87,31 +87,34 @@
 
     fn write(&self, record: &log::Record) {
         let Some(left_out) = self.admit(record) else { return };
-        let mut line = Map::new();
-        line.insert("ms".into(), (self.start.elapsed().as_millis() as u64).into());
-        line.insert("level".into(), record.level().as_str().into());
-        line.insert("instance".into(), self.opts.instance.as_str().into());
-        line.insert("message".into(), record.args().to_string().into());
-        if record.key_values().visit(&mut Fields(&mut line)).is_err() {
-            line.insert("fields".into(), "unreadable".into());
-        }
-        if left_out > 0 {
-            line.insert("left_out".into(), left_out.into());
-        }
+        let ms = self.start.elapsed().as_millis() as u64;
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
-        if dropped > 0 {
-            line.insert("dropped".into(), dropped.into());
-        }
-        let text = match self.opts.format {
-            LogFormat::Json => serde_json::Value::Object(line).to_string(),
-            LogFormat::Text => as_text(&line),
-        };
+        let text = render(&self.opts, ms, &[("left_out", left_out), ("dropped", dropped)], record);
         if self.tx.try_send(text).is_err() {
-            self.dropped.fetch_add(1, Ordering::Relaxed); // nobody reads: the line is given up
+            self.dropped.fetch_add(dropped + 1, Ordering::Relaxed); // nobody reads
         }
     }
 }
 
+/// Returns a record as a line; of `counts`, only those above zero are in it.
+pub fn render(opts: &LogOptions, ms: u64, counts: &[(&str, u32)], record: &log::Record) -> String {
+    let mut line = Map::new();
+    line.insert("ms".into(), ms.into());
+    line.insert("level".into(), record.level().as_str().into());
+    line.insert("instance".into(), opts.instance.as_str().into());
+    line.insert("message".into(), record.args().to_string().into());
+    if record.key_values().visit(&mut Fields(&mut line)).is_err() {
+        line.insert("fields".into(), "unreadable".into());
+    }
+    for (name, count) in counts.iter().filter(|(_, count)| *count > 0) {
+        line.insert((*name).into(), (*count).into());
+    }
+    match opts.format {
+        LogFormat::Json => serde_json::Value::Object(line).to_string(),
+        LogFormat::Text => as_text(&line),
+    }
+}
+
 fn as_text(line: &Map<String, serde_json::Value>) -> String {
     let word = |value: &serde_json::Value| match value {
         serde_json::Value::String(text) => text.clone(),
--- a/src/transport/upstreams/run.rs
+++ b/src/transport/upstreams/run.rs
@@ -17,6 +17,9 @@
 /// How long sends whose answers are not needed any more may end, which keeps their connections.
 const LINGER: Duration = Duration::from_millis(300);
 
+/// Missing shards that a log line tells the reason of.
+const MOST_REASONS: usize = 3;
+
 /// One request, whichever front end took it.
 pub(crate) struct Job {
     /// Identity of the request, for logs.
@@ -99,12 +102,20 @@
                 },
                 () = self.tier.clock.sleep_until(wake) => {
                     let orders = scatter.tick(&mut self.scene, self.tier.now());
+                    orders.iter().for_each(|order| self.log_hedge(order));
                     self.launch(orders, &mut sends);
                 }
             }
         }
     }
 
+    fn log_hedge(&self, order: &Order) {
+        let (id, server, shard) =
+            (self.asked.id.as_str(), self.server_id(order.server), order.shard);
+        let overdue_ms = self.asked.times.overdue.as_millis() as u64;
+        log::info!(request = id, shard, server, overdue_ms; "hedged");
+    }
+
     fn launch(&self, orders: impl IntoIterator<Item = Order>, sends: &mut Sends) {
         for Order { shard, server } in orders {
             let (tier, asked) = (self.tier.clone(), self.asked.clone());
@@ -141,18 +152,46 @@
         self.parts.sort_by_key(|(shard, _)| *shard);
         self.parts.dedup_by_key(|(shard, _)| *shard);
         if !missing.is_empty() {
-            let (id, shards) = (self.asked.id.as_str(), self.parts.len() + missing.len());
-            let first = missing.first().map_or(0, |(shard, _)| *shard);
-            log::info!(request = id, missing = missing.len(), shards, first; "answered without some shards");
+            let (id, route, version) = self.place();
+            let (shards, why) = (self.parts.len() + missing.len(), self.reasons(scatter, &missing));
+            log::info!(
+                request = id, route = route.as_str(), version, missing = missing.len(), shards,
+                why = why.as_str(); "answered without some shards"
+            );
         }
         Gathered { parts: self.parts, missing }
     }
 
+    /// Returns what a log line needs to find a request's inputs: identity, route, version of routes.
+    fn place(&self) -> (&str, String, u64) {
+        let version = self.scene.view.table.as_ref().map_or(0, |t| t.version);
+        (&self.asked.id, self.tier.names.route_name(self.route), version)
+    }
+
+    /// Returns the first missing shards with the reason and the servers that were asked.
+    fn reasons(&self, scatter: &Scatter, missing: &[(usize, Missing)]) -> String {
+        let one = |(place, why): &(usize, Missing)| {
+            let pool = self.tier.names.pool_name(scatter.pool(*place));
+            let asked: Vec<&str> =
+                scatter.asked(*place).iter().map(|key| self.server_id(*key)).collect();
+            format!("{pool}:{}:{}", why.name(), asked.join("+"))
+        };
+        missing.iter().take(MOST_REASONS).map(one).collect::<Vec<_>>().join(" ")
+    }
+
+    fn server_id(&self, key: ServerKey) -> &str {
+        self.scene.view.server(key).map_or("?", |s| s.report.id.as_str())
+    }
+
     fn given_up(self, ran: bool, scatter: &Scatter) -> GivenUp {
         let missing = scatter.missing();
         let late = self.tier.now() >= self.asked.until;
-        let id = self.asked.id.as_str();
-        log::info!(request = id, missing = missing.len(), late, ran; "given up");
+        let (id, route, version) = self.place();
+        let why = self.reasons(scatter, &missing);
+        log::info!(
+            request = id, route = route.as_str(), version, missing = missing.len(), late, ran,
+            why = why.as_str(); "given up"
+        );
         GivenUp { ran, late, failure: self.failure, missing }
     }
 }
