--- a/src/transport/operators/listener.rs
+++ b/src/transport/operators/listener.rs
@@ -30,7 +30,7 @@
         (&Method::POST, "/v1/tickets") => post_ticket(&node, req).await,
         (&Method::GET, path) if path.starts_with("/v1/tickets/") => show_ticket(&node, path).await,
         (&Method::POST, "/v1/faults") if node.cfg.test_faults => set_faults(&node, req).await,
-        _ => plain(404, "no such path; see docs/OPERATING.md\n"),
+        _ => plain(404, "no such path; see docs/OPERATIONS.md\n"),
     }
 }
 
