--- a/src/transport/store/watches.rs
+++ b/src/transport/store/watches.rs
@@ -13,6 +13,8 @@
 const WAIT: Duration = Duration::from_secs(10);
 /// Time between two reads of the instance list.
 const LIST: Duration = Duration::from_secs(2);
+/// Of so many reads an instance that does not follow the platform makes one.
+const SELDOM: u64 = 5;
 /// Pause after a failed call, and of an instance that does not follow the platform.
 const PAUSE: Duration = Duration::from_millis(700);
 
@@ -68,8 +70,9 @@
 
 /// Takes the platform's list of instances in.
 pub(crate) async fn follow_list(node: Arc<Node>) {
-    loop {
-        if !node.peers.faults.cuts_platform() {
+    for round in 0u64.. {
+        let due = round.is_multiple_of(SELDOM) || watches(&node);
+        if due && !node.peers.faults.cuts_platform() {
             node.tier.meters.platform_calls.with_label_values(&["list"]).inc();
             match node.platform.instances().await {
                 Ok(listed) => {
