--- a/src/state/members.rs
+++ b/src/state/members.rs
@@ -119,16 +119,17 @@
 
     /// Says whether `me` is the member of its failure domain that follows the platform.
     ///
-    /// The first in the order of rendezvous hashing that was heard within `patience` and follows.
-    pub fn watches(&self, me: &Member, patience: Duration, now: Tick) -> bool {
+    /// That is the first in the order of rendezvous hashing among those heard within `patience` that
+    /// can follow; `follows` says whether `me` can. If none can, all try.
+    pub fn watches(&self, me: &Member, follows: bool, patience: Duration, now: Tick) -> bool {
         let own = hash::weight("watch", me.id.name());
-        let better = |s: &&Seen| {
+        let better = |s: &Seen| {
             s.member.domain == me.domain
                 && s.member.id.name() != me.id.name()
                 && s.follows
                 && s.heard.is_some_and(|at| now.since(at) < patience)
-                && hash::weight("watch", s.member.id.name()) > own
+                && (!follows || hash::weight("watch", s.member.id.name()) > own)
         };
-        !self.0.values().any(|s| better(&s))
+        !self.0.values().any(better)
     }
 }
--- a/src/transport/peers/mod.rs
+++ b/src/transport/peers/mod.rs
@@ -77,7 +77,7 @@
 
     /// Says whether this instance follows the platform for its failure domain.
     pub fn watches(&self) -> bool {
-        self.members.lock().watches(&self.opts.me, PATIENCE, self.now())
+        self.members.lock().watches(&self.opts.me, self.follows(), PATIENCE, self.now())
     }
 
     /// Sets whether the platform answers this instance.
--- a/tests/beliefs.rs
+++ b/tests/beliefs.rs
@@ -93,6 +93,11 @@
 }
 
 const WATCHES: &[WatchCase] = &[
+    WatchCase {
+        name: "those that can not follow leave it to the one that can",
+        heard: &[("a", false, 9_900), ("b", true, 9_900), ("c", false, 9_900)],
+        watchers: 1,
+    },
     WatchCase {
         name: "one of those that are heard",
         heard: &[("a", true, 9_900), ("b", true, 9_900), ("c", true, 9_900)],
@@ -105,7 +110,7 @@
         watchers: 3,
     },
     WatchCase {
-        name: "all that can not follow leave it to the one that can",
+        name: "each, when none can",
         heard: &[("a", false, 9_900), ("b", false, 9_900), ("c", false, 9_900)],
         watchers: 3,
     },
@@ -120,7 +125,9 @@
         for (name, follows, at) in case.heard {
             members.heard(&member(name, "d"), *follows, ms(*at));
         }
-        let watches = |n: &&&str| members.watches(&member(n, "d"), PATIENCE, ms(10_000));
+        let follows = |n: &str| case.heard.iter().all(|(name, follows, _)| *name != n || *follows);
+        let watches =
+            |n: &&&str| members.watches(&member(n, "d"), follows(n), PATIENCE, ms(10_000));
         assert_eq!(names.iter().filter(watches).count(), case.watchers, "{}", case.name);
     }
 }
@@ -131,7 +138,8 @@
     let mut members = Members::default();
     names.iter().for_each(|n| members.heard(&member(n, "d"), true, ms(9_900)));
     let watcher = |members: &Members, at| {
-        let mut all = names.iter().filter(|n| members.watches(&member(n, "d"), PATIENCE, ms(at)));
+        let mut all =
+            names.iter().filter(|n| members.watches(&member(n, "d"), true, PATIENCE, ms(at)));
         all.next().copied().unwrap()
     };
     let first = watcher(&members, 10_000);
@@ -139,8 +147,10 @@
     cut.heard(&member(first, "d"), false, ms(10_000));
     let others = names.iter().filter(|n| **n != first);
     let next: Vec<_> =
-        others.filter(|n| cut.watches(&member(n, "d"), PATIENCE, ms(10_100))).collect();
+        others.filter(|n| cut.watches(&member(n, "d"), true, PATIENCE, ms(10_100))).collect();
     assert_eq!(next.len(), 1, "one other takes over from a watcher that is cut off");
+    let still = cut.watches(&member(first, "d"), false, PATIENCE, ms(10_100));
+    assert!(!still, "the one that is cut off leaves it to the other");
     let mut silent = members;
     names
         .iter()
@@ -148,7 +158,7 @@
         .for_each(|n| silent.heard(&member(n, "d"), true, ms(11_500)));
     let taken = names.iter().filter(|n| **n != first);
     let taken: Vec<_> =
-        taken.filter(|n| silent.watches(&member(n, "d"), PATIENCE, ms(11_600))).collect();
+        taken.filter(|n| silent.watches(&member(n, "d"), true, PATIENCE, ms(11_600))).collect();
     assert_eq!(taken, next, "and so does it when the watcher is silent");
 }
 
