--- /dev/null
+++ b/src/coordination/gatherers.rs
@@ -0,0 +1,106 @@
+//! Which instances gather the parts of a request over many shards.
+//!
+//! An instance gathers itself if it is near the shards and asks them often enough to keep its
+//! connections warm. Otherwise it hands the whole request to a gatherer: one message there and one
+//! back take the place of one for each shard.
+
+use std::cmp::Reverse;
+
+use indexmap::IndexMap;
+
+use crate::state::arena::PoolKey;
+use crate::state::hash;
+use crate::state::members::Member;
+use crate::state::picture::{Server, View};
+
+/// Share of the shards that a failure domain holds servers of, at least, to gather there.
+const NEAR: f64 = 0.5;
+/// Fewest gatherers of a failure domain: without two of them one is left.
+const LEAST_GATHERERS: usize = 3;
+/// Members of a failure domain for each gatherer.
+const MEMBERS_EACH: usize = 8;
+/// Requests over shards in a second from which on an instance's own connections stay warm.
+const WARM_RATE: f64 = 4.0;
+/// Part of the largest member's processor that a gatherer has at least.
+const LARGE: f64 = 0.5;
+
+/// What decides where a request is gathered.
+#[derive(Clone, Copy, Debug)]
+pub struct Asker<'a> {
+    /// This instance.
+    pub me: &'a Member,
+    /// Requests over shards that it took in a second, lately.
+    pub rate: f64,
+    /// Shards of the request.
+    pub shards: usize,
+}
+
+/// Returns the number of shards that each failure domain has an open server of which is `lit`.
+pub fn holders<'a>(
+    view: &'a View,
+    shards: &[PoolKey],
+    lit: impl Fn(&Server) -> bool,
+) -> IndexMap<&'a str, usize> {
+    let mut held = IndexMap::new();
+    for pool in shards {
+        let mut domains: Vec<&str> = Vec::new();
+        for (_, server) in view.open(*pool).filter(|(_, s)| lit(s)) {
+            let domain = server.report.domain.as_str();
+            if !domains.contains(&domain) {
+                domains.push(domain);
+                *held.entry(domain).or_default() += 1;
+            }
+        }
+    }
+    held
+}
+
+/// Returns the members that may gather a request in place of the asker; none if it gathers itself.
+///
+/// `held` tells the shards that each failure domain holds.
+pub fn gatherers<'a>(
+    asker: Asker<'_>,
+    held: &IndexMap<&str, usize>,
+    members: &'a [Member],
+) -> Vec<&'a Member> {
+    let near = |domain: &str| {
+        let shards = held.get(domain).copied().unwrap_or_default();
+        shards as f64 >= asker.shards as f64 * NEAR
+    };
+    let own = asker.me.domain.as_str();
+    if near(own) {
+        let there = ranked(members, own);
+        let mine = there.iter().any(|m| m.id.name() == asker.me.id.name());
+        let warm = asker.rate >= WARM_RATE && is_large(asker.me, members);
+        return if mine || warm { Vec::new() } else { there };
+    }
+    let most = held.values().max().copied().unwrap_or_default();
+    let best = held.iter().filter(|(domain, shards)| **shards == most && near(domain));
+    best.flat_map(|(domain, _)| ranked(members, domain)).collect()
+}
+
+/// Returns the number of gatherers that share limits with `me`; `None` if it is none of them.
+pub fn sharing(me: &Member, members: &[Member]) -> Option<usize> {
+    let own = ranked(members, &me.domain);
+    own.iter().find(|m| m.id.name() == me.id.name())?;
+    let mut domains: Vec<&str> = members.iter().map(|m| m.domain.as_str()).collect();
+    domains.sort_unstable();
+    domains.dedup();
+    Some(domains.iter().map(|domain| ranked(members, domain).len()).sum())
+}
+
+/// Returns the gatherers of a failure domain: the first of its large members by rendezvous hashing.
+fn ranked<'a>(members: &'a [Member], domain: &str) -> Vec<&'a Member> {
+    let there = members.iter().filter(|m| m.domain == domain);
+    let count = there.clone().count();
+    let mut large: Vec<&Member> = there.filter(|m| is_large(m, members)).collect();
+    large.sort_by_key(|m| Reverse(hash::weight("gather", m.id.name())));
+    large.truncate(LEAST_GATHERERS.max(count / MEMBERS_EACH));
+    large
+}
+
+fn is_large(member: &Member, members: &[Member]) -> bool {
+    let there = members.iter().filter(|m| m.domain == member.domain);
+    let largest = there.map(|m| m.power).max().unwrap_or_default();
+    f64::from(member.power) >= f64::from(largest) * LARGE
+}
--- a/src/coordination/lifecycle.rs
+++ b/src/coordination/lifecycle.rs
@@ -28,8 +28,8 @@
 pub struct UnderWay {
     /// Requests of callers.
     pub flights: usize,
-    /// Requests at upstreams.
-    pub upstream: usize,
+    /// Requests that are gathered for peers.
+    pub gathered: usize,
 }
 
 /// Times of a planned stop.
--- a/src/coordination/shares.rs
+++ b/src/coordination/shares.rs
@@ -8,9 +8,17 @@
 /// Span over which arrivals at a cold server are bounded.
 const COLD_SPAN: Duration = Duration::from_secs(1);
 
+/// Connections to a server for each instance below which gatherers take half of them.
+const FEW: u32 = 2;
+
 /// Returns the connections that this instance may have to a server; one at least.
-pub fn connections(limit: u32, instances: usize) -> u32 {
-    (limit / instances.max(1) as u32).max(1)
+///
+/// If there are few for each instance, half of them are for the `gatherers`, of which this instance is one
+/// unless their number is zero: the others send to the servers of shards only now and then.
+pub fn connections(limit: u32, instances: usize, gatherers: usize) -> u32 {
+    let share = limit / instances.max(1) as u32;
+    let gathers = if gatherers > 0 && share < FEW { limit / 2 / gatherers as u32 } else { 0 };
+    share.max(gathers).max(1)
 }
 
 /// Arrivals at a cold server in the last second.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 };
 pub use coordination::darkness::Darkness;
 pub use coordination::extras::{ExtraOptions, Extras};
+pub use coordination::gatherers::{Asker, gatherers, holders, sharing};
 pub use coordination::learned::{Choice, Learned, RunTold, pick};
 pub use coordination::lifecycle::{
     Instance, Leaving, Serving, Starting, StopOptions, Stopped, UnderWay,
@@ -38,6 +39,7 @@
 };
 pub use protocol::dump::{Dump, UpstreamDump};
 pub use protocol::frames::{FrameError, Frames, decode, encode};
+pub use protocol::gather::{Query, QueryEnd, Times as QueryTimes};
 pub use protocol::peer::{Beat, Hello, VERSION as PEER_VERSION, Welcome};
 pub use protocol::platform::{
     Away, HEAD, InstanceState, Listed, Object, Platform, WriteResult, claim_key, head_size,
@@ -68,6 +70,7 @@
 pub use transport::http::{Client, FullResponse, Reply, get, plain, post, serve as serve_http};
 pub use transport::operators::command::{Ended as CommandEnded, operate};
 pub use transport::peers::beats::{run as run_beats, tell_left};
+pub use transport::peers::gather::{Gather, run as run_gatherers};
 pub use transport::peers::server::serve as serve_peers;
 pub use transport::peers::{PeerOptions, Peers, Taker};
 pub use transport::process::daemon::run;
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -3,11 +3,12 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use crate::protocol::gather::{Query, QueryEnd};
 use crate::state::docs::Doc;
 use crate::state::members::{InstanceId, Member};
 
 /// Version of the protocol between instances.
-pub const VERSION: u32 = 2;
+pub const VERSION: u32 = 3;
 
 /// The first message on a link, from the one who opened it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -75,4 +76,6 @@
     async fn push(docs: IndexMap<String, Doc>);
     /// Notes that an instance leaves.
     async fn left(name: String);
+    /// Gathers the parts of a request over shards.
+    async fn gather(query: Query) -> QueryEnd;
 }
--- a/src/state/members.rs
+++ b/src/state/members.rs
@@ -36,6 +36,16 @@
     pub domain: String,
     /// Its peer listener.
     pub addr: SocketAddr,
+    /// Processor that it may use, in thousandths of a core; zero where that is not known.
+    #[serde(default)]
+    pub power: u32,
+}
+
+impl Member {
+    /// Returns its place among those that may follow the platform; the highest does.
+    pub fn watch_rank(&self) -> (u32, u64) {
+        (self.power, hash::weight("watch", self.id.name()))
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -119,16 +129,16 @@
 
     /// Says whether `me` is the member of its failure domain that follows the platform.
     ///
-    /// That is the first in the order of rendezvous hashing among those heard within `patience` that
-    /// can follow; `follows` says whether `me` can. If none can, all try.
+    /// That is the first of the largest, in the order of rendezvous hashing, among those heard within
+    /// `patience` that can follow; `follows` says whether `me` can. If none can, all try.
     pub fn watches(&self, me: &Member, follows: bool, patience: Duration, now: Tick) -> bool {
-        let own = hash::weight("watch", me.id.name());
+        let own = me.watch_rank();
         let better = |s: &Seen| {
             s.member.domain == me.domain
                 && s.member.id.name() != me.id.name()
                 && s.follows
                 && s.heard.is_some_and(|at| now.since(at) < patience)
-                && (!follows || hash::weight("watch", s.member.id.name()) > own)
+                && (!follows || s.member.watch_rank() > own)
         };
         !self.0.values().any(better)
     }
--- a/src/state/names.rs
+++ b/src/state/names.rs
@@ -23,6 +23,12 @@
         RouteKey::new(place(&mut self.routes.lock(), name), 0)
     }
 
+    /// Returns the key of a route that was seen.
+    pub fn known_route(&self, name: &str) -> Option<RouteKey> {
+        let place = self.routes.lock().get_index_of(name)?;
+        Some(RouteKey::new(place as u32, 0))
+    }
+
     /// Returns the name of a service, for logs.
     pub fn pool_name(&self, key: PoolKey) -> String {
         self.pools.lock().get_index(key.index()).cloned().unwrap_or_default()
--- a/src/transport/callers/front.rs
+++ b/src/transport/callers/front.rs
@@ -104,7 +104,7 @@
 /// Waits until nothing is under way or the stop has taken too long.
 async fn finish(tier: &Tier, mut leaving: Instance<Leaving>) {
     loop {
-        let left = UnderWay { flights: tier.flights(), upstream: 0 };
+        let left = UnderWay { flights: tier.flights(), gathered: tier.gathered_now() };
         leaving = match leaving.stop(&tier.opts.stop, left, tier.now()) {
             Ok(_stopped) => return,
             Err(back) => back,
--- /dev/null
+++ b/src/transport/callers/hand.rs
@@ -0,0 +1,151 @@
+//! Requests over shards that another instance gathers, and those that are gathered for others.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use futures::{FutureExt, TryFutureExt};
+use hyper::header::HeaderValue;
+
+use crate::coordination::gatherers::{Asker, gatherers, holders};
+use crate::coordination::scatter::ScatterOptions;
+use crate::protocol::gather::{Query, QueryEnd, Times};
+use crate::protocol::wire::{CallerWire, Declined};
+use crate::state::picture::View;
+use crate::state::routes::{Gathering, Route, Target};
+use crate::state::time::Tick;
+use crate::transport::callers::pass::{Pass, declined, merged};
+use crate::transport::http::FullResponse;
+use crate::transport::peers::gather::{Gather, Gatherer};
+use crate::transport::upstreams::run::{GivenUp, Job, run};
+
+impl<W: CallerWire> Pass<W> {
+    /// Returns the instance that is to gather a request; none if this one does.
+    pub(crate) fn gatherer(&self, gathering: &Gathering, view: &View) -> Option<Gatherer> {
+        let (peers, dark) = (self.peers.as_ref()?, self.tier.dark_domains());
+        let held = holders(view, &gathering.shards, |s| !dark.contains(&s.report.domain));
+        let (me, rate) = (&peers.opts.me, self.tier.gather_rate());
+        let members = peers.members();
+        let asker = Asker { me, rate, shards: gathering.shards.len() };
+        let list = gatherers(asker, &held, &members);
+        peers.gatherer(&list)
+    }
+
+    /// Hands a request on; `None` if it was not taken and nothing was sent to any server.
+    pub(crate) async fn hand(
+        &self,
+        gatherer: &Gatherer,
+        route: &Route,
+        job: &Job,
+        version: u64,
+    ) -> Option<Result<FullResponse, Declined>> {
+        let now = self.tier.now();
+        let left = |at: Tick| at.since(now).saturating_sub(gatherer.trip());
+        let sent = gatherer.now();
+        let times = Times { sent, soft: left(job.opts.soft), hard: left(job.opts.hard) };
+        let named = (self.tier.names.route_name(route.key), version);
+        let query = Query::new(&job.id, named, &job.out, times);
+        let ended = gatherer.hand(query).await;
+        let (id, name) = (job.id.as_str(), gatherer.name());
+        match ended {
+            Ok(QueryEnd::Answer { body, signatures, missing }) => {
+                self.tier.meters.handed.with_label_values(&["answered"]).inc();
+                Some(self.handed_answer(body, &signatures, missing))
+            }
+            Ok(QueryEnd::NotTaken(why)) => {
+                self.tier.meters.handed.with_label_values(&["not_taken"]).inc();
+                log::info!(request = id, gatherer = name, why = why.as_str(); "not taken, gathered here");
+                None
+            }
+            Ok(end) => {
+                self.tier.meters.handed.with_label_values(&["given_up"]).inc();
+                log::info!(request = id, gatherer = name, end:? = end; "given up by its gatherer");
+                let late = end == QueryEnd::GivenUp { late: true };
+                Some(Err(declined(end != QueryEnd::NotRun, late)))
+            }
+            Err(lost) => {
+                self.tier.meters.handed.with_label_values(&["lost"]).inc();
+                log::info!(request = id, gatherer = name, lost:? = lost; "given up with its gatherer");
+                Some(Err(Declined::Failed))
+            }
+        }
+    }
+
+    fn handed_answer(
+        &self,
+        body: Bytes,
+        signatures: &[Bytes],
+        missing: usize,
+    ) -> Result<FullResponse, Declined> {
+        let signatures = signatures.iter().map(|s| HeaderValue::from_bytes(s));
+        match signatures.collect::<Result<Vec<_>, _>>() {
+            Ok(signatures) => Ok(self.respond_gathered(body, &signatures, missing)),
+            Err(e) => {
+                log::error!("signature from a gatherer: {e}");
+                Err(Declined::Failed)
+            }
+        }
+    }
+
+    /// Builds the job of a request of a peer, or tells why it is not taken.
+    fn peers_job(
+        &self,
+        query: &Query,
+        age: Duration,
+    ) -> Result<(Job, Arc<View>, Gathering), String> {
+        let view = self.tier.view();
+        let table = view.table.clone().ok_or("knows no routes")?;
+        if table.version != query.version {
+            return Err(format!("has version {}, not {}", table.version, query.version));
+        }
+        if self.tier.leaving() {
+            return Err("is leaving".to_owned());
+        }
+        let key = self.tier.names.known_route(&query.route).ok_or("no such route")?;
+        let route = table.routes.iter().find(|r| r.key == key).ok_or("no such route")?;
+        let Target::Gather(gathering) = &route.target else {
+            return Err("not a route over shards".to_owned());
+        };
+        if self.tier.refuses(route) {
+            return Err("reaches too few shards".to_owned());
+        }
+        let at = self.tier.now();
+        let out = query.outgoing().map_err(|e| format!("{e:#}"))?;
+        let opts = ScatterOptions {
+            shards: gathering.shards.clone(),
+            attempts: route.attempts.max(1),
+            idempotent: true,
+            least: gathering.least,
+            soft: at + query.soft.saturating_sub(age),
+            hard: at + query.hard.saturating_sub(age),
+        };
+        let job = Job { id: query.id.clone(), route: route.key, aim: route.aim, out, opts };
+        Ok((job, view, gathering.clone()))
+    }
+
+    async fn gather_for_peer(self: Arc<Self>, query: Query, age: Duration) -> QueryEnd {
+        let _guard = self.tier.gathered();
+        let (job, view, gathering) = match self.peers_job(&query, age) {
+            Ok(parts) => parts,
+            Err(why) => return QueryEnd::NotTaken(why),
+        };
+        let size = self.wire.record_size();
+        let answer = |gathered| {
+            let (body, signatures, missing) = merged(&gathering, &gathered, size);
+            let signatures = signatures.iter().map(|s| Bytes::copy_from_slice(s.as_bytes()));
+            QueryEnd::Answer { body, signatures: signatures.collect(), missing }
+        };
+        let given_up = |e: GivenUp| match e.ran {
+            true => QueryEnd::GivenUp { late: e.late },
+            false => QueryEnd::NotRun,
+        };
+        run(&self.tier, &view, job).map_ok_or_else(given_up, answer).await
+    }
+}
+
+impl<W: CallerWire> Gather for Pass<W> {
+    fn gather(self: Arc<Self>, query: Query, age: Duration) -> BoxFuture<'static, QueryEnd> {
+        self.gather_for_peer(query, age).boxed()
+    }
+}
--- a/src/transport/callers/pass.rs
+++ b/src/transport/callers/pass.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::HOST;
+use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response};
 
 use crate::coordination::scatter::ScatterOptions;
@@ -18,6 +18,7 @@
 use crate::state::time::Tick;
 use crate::transport::callers::front::{Arrival, Handler};
 use crate::transport::http::{BodyError, FullResponse, read_body};
+use crate::transport::peers::Peers;
 use crate::transport::upstreams::run::{Gathered, GivenUp, Job, run};
 use crate::transport::upstreams::send::Answer;
 use crate::transport::upstreams::tier::{RouteStats, Tier};
@@ -34,14 +35,15 @@
 
 /// The front end that passes requests on.
 pub struct Pass<W> {
-    tier: Arc<Tier>,
-    wire: W,
+    pub(crate) tier: Arc<Tier>,
+    pub(crate) wire: W,
+    pub(crate) peers: Option<Arc<Peers>>,
 }
 
 impl<W: CallerWire> Pass<W> {
-    /// Builds the front end.
-    pub fn new(tier: Arc<Tier>, wire: W) -> Self {
-        Self { tier, wire }
+    /// Builds the front end; requests over shards may be handed to `peers`.
+    pub fn new(tier: Arc<Tier>, wire: W, peers: Option<Arc<Peers>>) -> Self {
+        Self { tier, wire, peers }
     }
 
     async fn answer(&self, req: Request<Incoming>, arrival: Arrival) -> FullResponse {
@@ -102,6 +104,14 @@
         };
         let opts = self.options(route, &ask, arrival);
         let job = Job { id: ask.id, route: route.key, aim: route.aim, out, opts };
+        if let Target::Gather(gathering) = &route.target {
+            self.tier.note_gather(arrival.at);
+            if let Some(gatherer) = self.gatherer(gathering, &view)
+                && let Some(end) = self.hand(&gatherer, route, &job, table.version).await
+            {
+                return end;
+            }
+        }
         match run(&self.tier, &view, job).await {
             Ok(gathered) => Ok(self.respond(route, gathered)),
             Err(given_up) => self.give_up(route, given_up),
@@ -150,18 +160,24 @@
 
     fn respond(&self, route: &Route, mut gathered: Gathered) -> FullResponse {
         match &route.target {
-            Target::Gather(gathering) => self.merge(gathering, &gathered),
+            Target::Gather(gathering) => {
+                let (body, signatures, missing) =
+                    merged(gathering, &gathered, self.wire.record_size());
+                self.respond_gathered(body, &signatures, missing)
+            }
             Target::Split(_) => self.pass_out(gathered.parts.swap_remove(0).1),
         }
     }
 
-    fn merge(&self, gathering: &Gathering, gathered: &Gathered) -> FullResponse {
-        let parts = || gathered.parts.iter().map(|(_, a)| a);
-        let signatures: Vec<_> = parts().filter_map(|a| a.signature.clone()).collect();
-        let bodies: Vec<Bytes> = parts().map(|a| a.body.clone()).collect();
-        let body = top::greatest(&bodies, self.wire.record_size(), gathering.top);
+    /// Builds the answer to a request over shards.
+    pub(crate) fn respond_gathered(
+        &self,
+        body: Bytes,
+        signatures: &[HeaderValue],
+        missing: usize,
+    ) -> FullResponse {
         let mut res = Response::new(Full::new(body));
-        *res.headers_mut() = self.wire.gathered(&signatures, gathered.missing.len());
+        *res.headers_mut() = self.wire.gathered(signatures, missing);
         res
     }
 
@@ -178,14 +194,32 @@
         if let Some(answer) = given_up.failure.filter(passes) {
             return Ok(self.pass_out(answer));
         }
-        Err(match (given_up.ran, given_up.late) {
-            (false, _) => Declined::NotRun { after: REFUSED_AFTER },
-            (true, true) => Declined::TimedOut,
-            (true, false) => Declined::Failed,
-        })
+        Err(declined(given_up.ran, given_up.late))
+    }
+}
+
+/// Returns what a caller is told of a request that was given up.
+pub(crate) fn declined(ran: bool, late: bool) -> Declined {
+    match (ran, late) {
+        (false, _) => Declined::NotRun { after: REFUSED_AFTER },
+        (true, true) => Declined::TimedOut,
+        (true, false) => Declined::Failed,
     }
 }
 
+/// Returns the greatest records of all parts, the signature of each, and the number of missing parts.
+pub(crate) fn merged(
+    gathering: &Gathering,
+    gathered: &Gathered,
+    record_size: usize,
+) -> (Bytes, Vec<HeaderValue>, usize) {
+    let parts = || gathered.parts.iter().map(|(_, a)| a);
+    let signatures = parts().filter_map(|a| a.signature.clone()).collect();
+    let bodies: Vec<Bytes> = parts().map(|a| a.body.clone()).collect();
+    let body = top::greatest(&bodies, record_size, gathering.top);
+    (body, signatures, gathered.missing.len())
+}
+
 fn find<'a>(table: &'a RouteTable, req: &Request<Incoming>) -> Option<&'a Route> {
     let host = req.headers().get(HOST).and_then(|h| h.to_str().ok());
     let host = host.or_else(|| req.uri().host()).unwrap_or_default();
--- a/src/transport/metrics.rs
+++ b/src/transport/metrics.rs
@@ -15,6 +15,7 @@
     pub(crate) seconds: Histogram,
     pub(crate) missing: IntCounter,
     pub(crate) restarts: IntCounter,
+    pub(crate) handed: IntCounterVec,
     pub(crate) sends: IntCounterVec,
     pub(crate) extras: IntCounterVec,
     pub(crate) connects: IntCounterVec,
@@ -63,6 +64,11 @@
             missing: make.counter(&of("parts_missing_total"), "shards left out of answers"),
             restarts: make
                 .counter(&of("restarts_total"), "queries begun again on a newer snapshot"),
+            handed: make.counters(
+                &of("handed_total"),
+                "requests over shards handed to a gatherer, by end",
+                "end",
+            ),
             sends: make.counters(&of("sends_total"), "requests to servers, by end", "end"),
             extras: make.counters(
                 &of("extra_arrivals_total"),
--- a/src/transport/peers/beats.rs
+++ b/src/transport/peers/beats.rs
@@ -12,7 +12,6 @@
 
 use crate::protocol::peer::Beat;
 use crate::state::docs::Doc;
-use crate::state::hash;
 use crate::state::members::Member;
 use crate::transport::peers::Peers;
 
@@ -48,7 +47,7 @@
     let members = peers.members();
     let others = || members.iter().filter(|m| m.id.name() != me.id.name());
     let mut near: Vec<&Member> = others().filter(|m| m.domain == me.domain).collect();
-    near.sort_by_key(|m| std::cmp::Reverse(hash::weight("watch", m.id.name())));
+    near.sort_by_key(|m| std::cmp::Reverse(m.watch_rank()));
     let mut picked: Vec<SocketAddr> = near.iter().take(NEAR).map(|m| m.addr).collect();
     let mut rng = rand::rng();
     picked.extend(near.iter().skip(NEAR).choose(&mut rng).map(|m| m.addr));
--- a/src/transport/peers/links.rs
+++ b/src/transport/peers/links.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Returns the round trip; zero until it is known.
+    pub(crate) fn rtt(&self) -> Duration {
+        Duration::from_micros(self.rtt_us.load(Ordering::Relaxed).into())
+    }
+
     fn up(&self) -> bool {
         !self.task.0.is_finished()
             && self.heard.lock().pinged.is_none_or(|at| at.elapsed() < SILENT)
@@ -140,7 +145,8 @@
         }
     }
 
-    fn up(&self, addr: SocketAddr) -> Option<Arc<Link>> {
+    /// Returns the link to a peer if it is up.
+    pub(crate) fn up(&self, addr: SocketAddr) -> Option<Arc<Link>> {
         self.places.lock().get(&addr)?.link.as_ref().filter(|l| l.up()).cloned()
     }
 
--- a/src/transport/peers/mod.rs
+++ b/src/transport/peers/mod.rs
@@ -2,23 +2,26 @@
 //! the platform; the others hear from it.
 
 pub(crate) mod beats;
+pub(crate) mod gather;
 pub(crate) mod links;
 pub(crate) mod server;
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 
+use crate::coordination::gatherers::sharing;
 use crate::protocol::peer::{Beat, Hello, VERSION};
 use crate::state::docs::{Doc, Docs};
 use crate::state::members::{Member, Members};
 use crate::state::time::Tick;
 use crate::transport::clock::Clock;
 use crate::transport::faults::Faults;
+use crate::transport::peers::gather::{Gather, Gatherers};
 use crate::transport::peers::links::{Link, Links};
 
 /// Time without a word after which a member is not counted on: three heartbeats.
@@ -53,6 +56,8 @@
     known: AtomicBool,
     follows: AtomicBool,
     taker: Taker,
+    pub(crate) gather: OnceLock<Arc<dyn Gather>>,
+    pub(crate) gatherers: Gatherers,
 }
 
 impl Peers {
@@ -68,6 +73,8 @@
             known: AtomicBool::new(false),
             follows: AtomicBool::new(true),
             taker,
+            gather: OnceLock::new(),
+            gatherers: Gatherers::default(),
         }
     }
 
@@ -100,6 +107,11 @@
         self.known.load(Ordering::Relaxed).then(|| members.len() + usize::from(own))
     }
 
+    /// Returns the number of gatherers, if this instance is one of them.
+    pub fn gatherers(&self) -> Option<usize> {
+        sharing(&self.opts.me, &self.members())
+    }
+
     /// Returns the names of listed members of the own failure domain that are silent for long.
     pub fn silent(&self, patience: Duration) -> Vec<String> {
         let mut silent = self.members.lock().silent(&self.opts.me.domain, patience, self.now());
--- a/src/transport/peers/server.rs
+++ b/src/transport/peers/server.rs
@@ -16,8 +16,10 @@
 use tokio_util::task::TaskTracker;
 
 use crate::protocol::frames::{Frames, decode, encode};
+use crate::protocol::gather::{Query, QueryEnd};
 use crate::protocol::peer::{Beat, Hello, Peer, Welcome};
 use crate::state::docs::Doc;
+use crate::transport::peers::gather::Delays;
 use crate::transport::peers::{Peers, beats, links};
 
 /// Longest time for the hello of a new link.
@@ -68,7 +70,7 @@
     };
     let (ws, hello) = timeout(HELLO_TIMEOUT, opening).await.context("no hello in time")??;
     let frames = Frames::new(ws, peers.links.sent.clone());
-    let server = PeerServer { peers, from: Arc::new(hello) };
+    let server = PeerServer { peers, from: Arc::new(hello), delays: Arc::default() };
     let channel = BaseChannel::with_defaults(frames);
     channel
         .execute(server.serve())
@@ -83,6 +85,7 @@
 struct PeerServer {
     peers: Arc<Peers>,
     from: Arc<Hello>,
+    delays: Arc<Delays>,
 }
 
 impl PeerServer {
@@ -118,4 +121,9 @@
         self.gate().await;
         self.peers.left(&name);
     }
+
+    async fn gather(self, _: context::Context, query: Query) -> QueryEnd {
+        self.gate().await;
+        self.peers.gather_for(query, &self.delays).await
+    }
 }
--- a/src/transport/process/daemon.rs
+++ b/src/transport/process/daemon.rs
@@ -59,7 +59,7 @@
     let operators = bind("operators", cfg.operators).await?;
     let addr = cfg.advertise.unwrap_or(peers.local_addr()?);
     let id = InstanceId::new(&cfg.instance, rand::random());
-    let me = Member { id, domain: cfg.domain.clone(), addr };
+    let me = Member { id, domain: cfg.domain.clone(), addr, power: 0 };
     let node = Arc::new(Node::new(cfg.clone(), me.clone(), platform(&cfg, &me)));
     log::info!(
         "{} started: callers at {}, peers at {addr}, operators at {}",
--- a/src/transport/store/watches.rs
+++ b/src/transport/store/watches.rs
@@ -92,5 +92,10 @@
 
 fn member(listed: &Listed) -> Option<Member> {
     let addr = listed.addr.parse().ok()?;
-    Some(Member { id: InstanceId(listed.name.clone()), domain: listed.domain.clone(), addr })
+    Some(Member {
+        id: InstanceId(listed.name.clone()),
+        domain: listed.domain.clone(),
+        addr,
+        power: 0,
+    })
 }
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -69,6 +69,15 @@
     }
 }
 
+/// A peer's request that is under way.
+pub(crate) struct ForPeer(Arc<Tier>);
+
+impl Drop for ForPeer {
+    fn drop(&mut self) {
+        self.0.gathered.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// What is known of a live server: answers, failures, connections.
 #[derive(Default)]
 pub(crate) struct Live {
@@ -116,6 +125,9 @@
     leaving: AtomicBool,
     able: AtomicBool,
     flights: AtomicUsize,
+    gathered: AtomicUsize,
+    gatherers: AtomicUsize,
+    asked: Mutex<Window>,
 }
 
 impl Tier {
@@ -137,6 +149,9 @@
             leaving: AtomicBool::new(false),
             able: AtomicBool::new(true),
             flights: AtomicUsize::new(0),
+            gathered: AtomicUsize::new(0),
+            gatherers: AtomicUsize::new(0),
+            asked: Mutex::new(Window::new(RECENT)),
         }
     }
 
@@ -160,10 +175,20 @@
     /// A server may still count those of this instance's former run, so a young process has half.
     pub(crate) fn connections(&self, limit: u32, now: Tick) -> u32 {
         let young = now.since(Tick::default()) < self.opts.extras.span;
-        let share = shares::connections(limit, self.instances());
+        let gatherers = self.gatherers.load(Ordering::Relaxed);
+        let share = shares::connections(limit, self.instances(), gatherers);
         if young { (share / 2).max(1) } else { share }
     }
 
+    /// Sets the number of gatherers of requests over shards, if this instance is one of them.
+    pub fn set_gatherers(&self, count: Option<usize>) {
+        let count = count.unwrap_or_default();
+        let before = self.gatherers.swap(count, Ordering::Relaxed);
+        if (before == 0) != (count == 0) {
+            log::info!(gathers = (count > 0), gatherers = count; "this instance gathers for others");
+        }
+    }
+
     /// Sets the number of instances that share limits with this one, itself included.
     pub fn set_instances(&self, count: usize) {
         let before = self.instances.swap(count.max(1), Ordering::Relaxed);
@@ -210,6 +235,27 @@
         self.flights.load(Ordering::Relaxed)
     }
 
+    /// Counts a peer's request as under way until the guard is dropped.
+    pub(crate) fn gathered(self: &Arc<Self>) -> ForPeer {
+        self.gathered.fetch_add(1, Ordering::Relaxed);
+        ForPeer(self.clone())
+    }
+
+    /// Returns the peers' requests that are under way.
+    pub(crate) fn gathered_now(&self) -> usize {
+        self.gathered.load(Ordering::Relaxed)
+    }
+
+    /// Counts a caller's request over shards.
+    pub(crate) fn note_gather(&self, now: Tick) {
+        self.asked.lock().add(now);
+    }
+
+    /// Returns the callers' requests over shards in a second, lately.
+    pub(crate) fn gather_rate(&self) -> f64 {
+        f64::from(self.asked.lock().count(self.now())) / RECENT.as_secs_f64()
+    }
+
     pub(crate) fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
     }
--- a/tests/beliefs.rs
+++ b/tests/beliefs.rs
@@ -79,7 +79,7 @@
 
 fn member(name: &str, domain: &str) -> Member {
     let addr = "127.0.0.1:9".parse().unwrap();
-    Member { id: InstanceId::new(name, 1), domain: domain.into(), addr }
+    Member { id: InstanceId::new(name, 1), domain: domain.into(), addr, power: 0 }
 }
 
 const PATIENCE: Duration = Duration::from_secs(1);
--- a/tests/lifecycle.rs
+++ b/tests/lifecycle.rs
@@ -14,7 +14,7 @@
     stops: bool,
 }
 
-const IDLE: UnderWay = UnderWay { flights: 0, upstream: 0 };
+const IDLE: UnderWay = UnderWay { flights: 0, gathered: 0 };
 
 const CASES: &[Case] = &[
     Case { name: "idle, in the notice", left: IDLE, at: 1_999, takes: true, stops: false },
@@ -27,8 +27,8 @@
         stops: false,
     },
     Case {
-        name: "an upstream works",
-        left: UnderWay { upstream: 1, ..IDLE },
+        name: "a peer waits",
+        left: UnderWay { gathered: 1, ..IDLE },
         at: 9_000,
         takes: false,
         stops: false,
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -165,6 +165,6 @@
 #[test]
 fn connections_are_shared_evenly() {
     for case in SHARES {
-        assert_eq!(connections(case.limit, case.instances), case.share, "{}", case.limit);
+        assert_eq!(connections(case.limit, case.instances, 0), case.share, "{}", case.limit);
     }
 }
