A server's report that is read again does not change how long it counts as cold

Cause: every new list of servers was taken in whole, and each report in it set the time until which its server is cold anew, by what it had said long before. One that had said 3 s stayed cold for as long as other servers came and went, and the mark of a failure domain that returned after it was taken out was dropped by the next change anywhere.

--- a/src/state/picture.rs
+++ b/src/state/picture.rs
@@ -132,6 +132,9 @@
             && server.report.born == report.born
         {
             let changed = server.report != report;
+            // a report that is read again is as old as before
+            let again = server.report.cold_left == report.cold_left;
+            let cold_until = if again { server.cold_until } else { cold_until };
             let former = std::mem::replace(server, Server { report, cold_until });
             let pools = server.report.pools.clone();
             if former.report.pools != pools {
--- a/tests/beliefs.rs
+++ b/tests/beliefs.rs
@@ -328,6 +328,47 @@
     }
 }
 
+struct ColdCase {
+    name: &'static str,
+    /// Seconds that the server says it is cold for, in its first and in its second report.
+    told: [u64; 2],
+    /// Its domain was taken out and has returned before the second report.
+    returned: bool,
+    /// Seconds until which it counts as cold.
+    cold_until: u64,
+}
+
+/// The first report comes at 0 s, the second one at 2 s; a server is cold for 3 s when its domain returns, at 1 s.
+const COLDS: &[ColdCase] = &[
+    ColdCase { name: "said once more", told: [3, 3], returned: false, cold_until: 3 },
+    ColdCase { name: "said anew", told: [0, 3], returned: false, cold_until: 5 },
+    ColdCase { name: "no longer", told: [3, 0], returned: false, cold_until: 2 },
+    ColdCase { name: "returned", told: [0, 0], returned: true, cold_until: 4 },
+];
+
+#[test]
+fn a_report_that_is_read_again_does_not_change_how_long_a_server_is_cold() {
+    let pool = PoolKey::new(1, 0);
+    for case in COLDS {
+        let bounds = PoolBounds { cold_for: Duration::from_secs(3), ..Default::default() };
+        let pools = IndexMap::from([(pool, bounds)]);
+        let mut picture = Picture::default();
+        picture.take_table(RouteTable { version: 1, pools, ..Default::default() });
+        let report = |s: u64| {
+            let server = report("s", pool, "127.0.0.1:9", 1);
+            vec![ServerReport { cold_left: Duration::from_secs(s), ..server }]
+        };
+        picture.take_servers(report(case.told[0]), ms(0));
+        if case.returned {
+            picture.set_evacuated(["d".to_owned()].into(), ms(500));
+            picture.set_evacuated(Default::default(), ms(1_000));
+        }
+        picture.take_servers(report(case.told[1]), ms(2_000));
+        let (_, server) = picture.view().open(pool).next().unwrap();
+        assert_eq!(server.cold_until, ms(case.cold_until * 1_000), "{}", case.name);
+    }
+}
+
 #[test]
 fn a_domain_taken_out_gets_nothing_and_returns_cold() {
     let pool = PoolKey::new(1, 0);
