--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod darkness;
 pub(crate) mod extras;
 pub(crate) mod gatherers;
+pub(crate) mod lag;
 pub(crate) mod learned;
 pub(crate) mod lifecycle;
 pub(crate) mod limiter;
--- a/src/transport/callers/front.rs
+++ b/src/transport/callers/front.rs
@@ -15,9 +15,10 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::coordination::lag::LOOK as LOOK_AT_LAG;
 use crate::coordination::lifecycle::{Instance, Leaving, Starting, UnderWay};
 use crate::state::time::Tick;
-use crate::transport::http::FullResponse;
+use crate::transport::http::{AbortOnDrop, FullResponse};
 use crate::transport::upstreams::conns::tune;
 use crate::transport::upstreams::tier::Tier;
 
@@ -58,6 +59,7 @@
 ) {
     let instance = Instance::<Starting>::default().serve();
     let (closing, tasks) = (CancellationToken::new(), TaskTracker::new());
+    let _lag = AbortOnDrop(tokio::spawn(watch_lag(tier.clone())));
     let accepting = accept(&tier, &listener, &handler, &closing, &tasks);
     tokio::select! {
         () = accepting => {}
@@ -80,6 +82,14 @@
     }
 }
 
+/// Notes how late this process is, for as long as it takes callers.
+async fn watch_lag(tier: Arc<Tier>) {
+    loop {
+        tier.lag.lock().fired(tier.now());
+        tokio::time::sleep(LOOK_AT_LAG).await;
+    }
+}
+
 async fn accept(
     tier: &Arc<Tier>,
     listener: &TcpListener,
@@ -126,7 +136,8 @@
     let limits = tier.view().table.as_ref().map(|t| t.limits).unwrap_or_default();
     let first = AtomicBool::new(true);
     let service = service_fn(move |req: Request<Incoming>| {
-        let arrival = Arrival { at: tier.now(), first: first.swap(false, Ordering::Relaxed) };
+        let at = tier.lag.lock().arrival(tier.now());
+        let arrival = Arrival { at, first: first.swap(false, Ordering::Relaxed) };
         let (tier, answer) = (tier.clone(), handler.clone().answer(req, arrival));
         async move { Ok::<_, Infallible>(close_if_not_ready(&tier, answer.await)) }
     });
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -9,6 +9,7 @@
 
 use crate::coordination::darkness::Darkness;
 use crate::coordination::extras::{ExtraOptions, Extras};
+use crate::coordination::lag::Lag;
 use crate::coordination::learned::Learned;
 use crate::coordination::lifecycle::StopOptions;
 use crate::coordination::limiter::Limiter;
@@ -128,6 +129,7 @@
     gathered: AtomicUsize,
     gatherers: AtomicUsize,
     asked: Mutex<Window>,
+    pub(crate) lag: Mutex<Lag>,
 }
 
 impl Tier {
@@ -152,6 +154,7 @@
             gathered: AtomicUsize::new(0),
             gatherers: AtomicUsize::new(0),
             asked: Mutex::new(Window::new(RECENT)),
+            lag: Mutex::default(),
         }
     }
 
