The choice of a server counts how often it failed or refused

A refusal comes fast and counted as a slow answer of 1.75 usual times, so the nearest server stayed first though every other request to it had to go elsewhere, and the budget does not allow as many. Ruled out: too few sound servers (each shard had one).

--- a/src/coordination/learned.rs
+++ b/src/coordination/learned.rs
@@ -18,6 +18,13 @@
 const SHED: f64 = 4.0;
 /// Time in which half of what was learnt is forgotten, so that a recovered straggler is tried again.
 const HALF_LIFE: Duration = Duration::from_secs(3);
+/// Weight of one request in the moving share of those that a server failed or refused.
+const MISS_WEIGHT: f64 = 0.2;
+/// Time in which half of that share is forgotten.
+const MISS_HALF_LIFE: Duration = Duration::from_secs(5);
+/// What a request that is failed or refused costs, in usual answer times: another one must be sent, which
+/// the budget may not allow.
+const MISS_COST: f64 = 8.0;
 /// Age from which a server's own count of its requests is no longer used.
 const LOAD_AGE: Duration = Duration::from_millis(150);
 /// Usual answer times after which a request without an answer counts as a sign of a pause.
@@ -41,6 +48,7 @@
 pub struct Learned {
     slowness: f64,
     learnt_at: Tick,
+    misses: f64,
     queue: u32,
     slots: u32,
     told_at: Tick,
@@ -74,28 +82,30 @@
     /// Notes an answer that took `took` where `usual` is usual for the route.
     pub fn answered(&mut self, took: Duration, usual: Duration, now: Tick) {
         let ratio = took.as_secs_f64() / usual.as_secs_f64().max(0.000_1);
-        let known = self.slowness(now);
-        self.slowness = known + (ratio.min(SLOWEST) - known) * WEIGHT;
-        self.learnt_at = now;
+        self.learn(ratio.min(SLOWEST), 0.0, now);
         self.outlier.answered();
     }
 
     /// Notes a failure, which counts as a slow answer too.
     pub fn failed(&mut self, now: Tick) {
-        let known = self.slowness(now);
-        self.slowness = known + (FAILED - known).max(0.0) * WEIGHT;
-        self.learnt_at = now;
+        self.learn(FAILED.max(self.slowness(now)), 1.0, now);
         self.outlier.failed(now);
     }
 
     /// Notes that the server refused a request for lack of room.
     pub fn shed(&mut self, now: Tick) {
-        let known = self.slowness(now);
-        self.slowness = known + (SHED - known).max(0.0) * WEIGHT;
-        self.learnt_at = now;
+        self.learn(SHED.max(self.slowness(now)), 1.0, now);
         self.outlier.neither();
     }
 
+    /// Learns from one request: its time in usual answer times, and whether it was a miss (1) or not (0).
+    fn learn(&mut self, ratio: f64, miss: f64, now: Tick) {
+        let (known, misses) = (self.slowness(now), self.misses(now));
+        self.slowness = known + (ratio - known) * WEIGHT;
+        self.misses = misses + (miss - misses) * MISS_WEIGHT;
+        self.learnt_at = now;
+    }
+
     /// Takes in the load that the server told: requests running and waiting, and its slots.
     pub fn told(&mut self, queue: u32, slots: u32, now: Tick) {
         self.queue = queue;
@@ -172,7 +182,13 @@
         1.0 + (self.slowness - 1.0) * (-age / HALF_LIFE.as_secs_f64()).exp2()
     }
 
-    /// Estimates the time until the server would answer.
+    /// Returns the share of requests that the server failed or refused, as learnt and half forgotten.
+    fn misses(&self, now: Tick) -> f64 {
+        let age = now.since(self.learnt_at).as_secs_f64();
+        self.misses * (-age / MISS_HALF_LIFE.as_secs_f64()).exp2()
+    }
+
+    /// Estimates the time until the server would answer, or another one in its place.
     pub fn expected(&self, usual: Duration, slots: u32, cold: bool, now: Tick) -> Duration {
         let slots = f64::from(if self.slots > 0 { self.slots } else { slots.max(1) });
         let told = if now.since(self.told_at) < LOAD_AGE { self.queue } else { 0 };
@@ -181,7 +197,8 @@
         let stuck = (self.oldest(now).as_secs_f64() - usual.as_secs_f64() * STUCK).max(0.0);
         let cold = if cold { COLD_COST } else { 1.0 };
         let busy = 1.0 + waits + queue / slots * 0.25;
-        Duration::from_secs_f64(usual.as_secs_f64() * self.slowness(now) * busy * cold + stuck)
+        let times = self.slowness(now) * busy * cold + self.misses(now) * MISS_COST;
+        Duration::from_secs_f64(usual.as_secs_f64() * times + stuck)
     }
 }
 
--- a/tests/choices.rs
+++ b/tests/choices.rs
@@ -115,6 +115,8 @@
     /// Answer times that were seen, in milliseconds; 10 is usual.
     took_ms: &'static [u64],
     failures: u32,
+    /// Refusals, each with an answer after it.
+    sheds: u32,
     /// Requests running and waiting, of 2 slots, as just told.
     queue: u32,
     age_ms: u64,
@@ -128,6 +130,7 @@
 const WARM: Replica = Replica {
     took_ms: &[10, 10, 10],
     failures: 0,
+    sheds: 0,
     queue: 0,
     age_ms: 0,
     trip_ms: 0,
@@ -186,6 +189,22 @@
         ],
         ..FRESH
     },
+    ReplicaCase {
+        name: "a far one before one that refuses every other request",
+        replicas: [Replica { sheds: 3, ..WARM }, Replica { trip_ms: 12, ..WARM }],
+        picked: Some(1),
+        ..FRESH
+    },
+    ReplicaCase {
+        name: "one that refused long ago is tried again",
+        replicas: [Replica { sheds: 3, age_ms: 30_000, ..WARM }, Replica { trip_ms: 12, ..WARM }],
+        ..FRESH
+    },
+    ReplicaCase {
+        name: "the nearer of two that refuse alike",
+        replicas: [Replica { sheds: 3, ..WARM }, Replica { sheds: 3, trip_ms: 12, ..WARM }],
+        ..FRESH
+    },
     ReplicaCase {
         name: "an ejected one last",
         replicas: [Replica { failures: 3, ..WARM }, Replica { took_ms: &[200; 9], ..WARM }],
@@ -225,6 +244,10 @@
         learned.answered(Duration::from_millis(*took), usual, at);
     }
     (0..r.failures).for_each(|_| learned.failed(at));
+    for _ in 0..r.sheds {
+        learned.shed(at);
+        learned.answered(usual, usual, at);
+    }
     learned.told(r.queue, 2, at);
     if let Some(waiting) = r.waiting_ms {
         learned.sent(now - Duration::from_millis(waiting));
