--- a/src/state/members.rs
+++ b/src/state/members.rs
@@ -9,6 +9,9 @@
 use crate::state::hash;
 use crate::state::time::Tick;
 
+/// Members of a failure domain that go on trying when none of it can follow the platform.
+const TRIERS: usize = 2;
+
 /// Identity of one run of one instance: its name and a random mark made at its start.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -130,16 +133,24 @@
     /// Says whether `me` is the member of its failure domain that follows the platform.
     ///
     /// That is the first of the largest, in the order of rendezvous hashing, among those heard within
-    /// `patience` that can follow; `follows` says whether `me` can. If none can, all try.
+    /// `patience` that can follow; `follows` says whether `me` can. If none can, the first few try.
     pub fn watches(&self, me: &Member, follows: bool, patience: Duration, now: Tick) -> bool {
         let own = me.watch_rank();
-        let better = |s: &Seen| {
+        let heard = |s: &&Seen| {
             s.member.domain == me.domain
                 && s.member.id.name() != me.id.name()
-                && s.follows
                 && s.heard.is_some_and(|at| now.since(at) < patience)
-                && (!follows || s.member.watch_rank() > own)
         };
-        !self.0.values().any(better)
+        let others = || self.0.values().filter(heard);
+        let better = || others().filter(|s| s.member.watch_rank() > own);
+        if follows {
+            return !better().any(|s| s.follows);
+        }
+        !others().any(|s| s.follows) && better().count() < TRIERS
+    }
+
+    /// Returns the number of members of a failure domain.
+    pub fn count_in(&self, domain: &str) -> usize {
+        self.0.values().filter(|s| s.member.domain == domain).count()
     }
 }
--- a/src/transport/peers/mod.rs
+++ b/src/transport/peers/mod.rs
@@ -107,6 +107,11 @@
         self.known.load(Ordering::Relaxed).then(|| members.len() + usize::from(own))
     }
 
+    /// Returns the number of members of the own failure domain, this one included.
+    pub fn near(&self) -> usize {
+        self.members.lock().count_in(&self.opts.me.domain).max(1)
+    }
+
     /// Returns the number of gatherers, if this instance is one of them.
     pub fn gatherers(&self) -> Option<usize> {
         sharing(&self.opts.me, &self.members())
