Gatherers have half of the fixed part of the budget at servers of shards

Cause: the fixed number of extra arrivals was shared evenly by 68 instances, 1.8 each, though six of them send nearly all requests over shards.

--- a/src/coordination/extras.rs
+++ b/src/coordination/extras.rs
@@ -52,12 +52,12 @@
 
     /// Spends one extra arrival, if it is within the bound.
     ///
-    /// `instances` share the fixed number. A process that runs for less than a window has no part of
-    /// it: its former run may have spent it.
-    pub fn spend(&mut self, instances: usize, now: Tick) -> bool {
+    /// `part` is this instance's part of the fixed number. A process that runs for less than a window has
+    /// none of it: its former run may have spent it.
+    pub fn spend(&mut self, part: f64, now: Tick) -> bool {
         let own = f64::from(self.first.count(now)) * self.opts.ratio * RATIO_USED;
         let settled = now.0 >= self.opts.span.as_micros() as u64;
-        let fixed = self.opts.fixed * FIXED_USED / instances.max(1) as f64;
+        let fixed = self.opts.fixed * FIXED_USED * part;
         let most = own + if settled { fixed } else { 0.0 };
         if f64::from(self.extra.count(now)) + 1.0 > most {
             return false;
--- a/src/coordination/gatherers.rs
+++ b/src/coordination/gatherers.rs
@@ -8,6 +8,7 @@
 
 use indexmap::IndexMap;
 
+use crate::coordination::shares::Role;
 use crate::state::arena::PoolKey;
 use crate::state::hash;
 use crate::state::members::Member;
@@ -79,14 +80,16 @@
     best.flat_map(|(domain, _)| ranked(members, domain)).collect()
 }
 
-/// Returns the number of gatherers that share limits with `me`; `None` if it is none of them.
-pub fn sharing(me: &Member, members: &[Member]) -> Option<usize> {
+/// Returns what `me` does for requests over shards.
+pub fn role(me: &Member, members: &[Member]) -> Role {
     let own = ranked(members, &me.domain);
-    own.iter().find(|m| m.id.name() == me.id.name())?;
+    if !own.iter().any(|m| m.id.name() == me.id.name()) {
+        return Role::Asker;
+    }
     let mut domains: Vec<&str> = members.iter().map(|m| m.domain.as_str()).collect();
     domains.sort_unstable();
     domains.dedup();
-    Some(domains.iter().map(|domain| ranked(members, domain).len()).sum())
+    Role::Gatherer(domains.iter().map(|domain| ranked(members, domain).len()).sum())
 }
 
 /// Returns the gatherers of a failure domain: the first of its large members by rendezvous hashing.
--- a/src/coordination/shares.rs
+++ b/src/coordination/shares.rs
@@ -10,14 +10,45 @@
 
 /// Connections to a server for each instance below which gatherers take half of them.
 const FEW: u32 = 2;
+/// Part of a shared number that gatherers have for themselves, beside their even share of the rest.
+const FOR_GATHERERS: f64 = 0.5;
+
+/// What an instance does for requests over shards, which decides its share of limits at their servers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Role {
+    /// Each instance gathers its own requests.
+    #[default]
+    Alone,
+    /// It is one of so many that gather.
+    Gatherer(usize),
+    /// It hands its requests on, and gathers only when there is nobody to take them.
+    Asker,
+}
+
+impl Role {
+    /// Returns this instance's part of a number that all `instances` share.
+    pub fn part(self, instances: usize) -> f64 {
+        let even = 1.0 / instances.max(1) as f64;
+        match self {
+            Role::Alone => even,
+            Role::Asker => even * (1.0 - FOR_GATHERERS),
+            Role::Gatherer(count) => {
+                even * (1.0 - FOR_GATHERERS) + FOR_GATHERERS / count.max(1) as f64
+            }
+        }
+    }
+}
 
 /// Returns the connections that this instance may have to a server; one at least.
 ///
-/// If there are few for each instance, half of them are for the `gatherers`, of which this instance is one
-/// unless their number is zero: the others send to the servers of shards only now and then.
-pub fn connections(limit: u32, instances: usize, gatherers: usize) -> u32 {
+/// If there are few for each instance, half of them are for the gatherers: the others send to the servers of
+/// shards only now and then.
+pub fn connections(limit: u32, instances: usize, role: Role) -> u32 {
     let share = limit / instances.max(1) as u32;
-    let gathers = if gatherers > 0 && share < FEW { limit / 2 / gatherers as u32 } else { 0 };
+    let gathers = match role {
+        Role::Gatherer(count) if share < FEW => limit / 2 / count.max(1) as u32,
+        _ => 0,
+    };
     share.max(gathers).max(1)
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,7 @@
 };
 pub use coordination::darkness::Darkness;
 pub use coordination::extras::{ExtraOptions, Extras};
-pub use coordination::gatherers::{Asker, gatherers, holders, sharing};
+pub use coordination::gatherers::{Asker, gatherers, holders, role};
 pub use coordination::lag::{LOOK as LAG_LOOK, Lag};
 pub use coordination::learned::{Choice, Learned, RunTold, pick};
 pub use coordination::lifecycle::{
@@ -27,7 +27,7 @@
 pub use coordination::query::{Answer, Missing};
 pub use coordination::reach::unreachable;
 pub use coordination::scatter::{End, Order, Scatter, ScatterOptions, Scene, Verdict};
-pub use coordination::shares::{ColdGate, connections};
+pub use coordination::shares::{ColdGate, Role, connections};
 pub use coordination::snapshot::choose;
 pub use coordination::split::Draw;
 pub use coordination::tickets::{
--- a/src/transport/peers/mod.rs
+++ b/src/transport/peers/mod.rs
@@ -14,7 +14,8 @@
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 
-use crate::coordination::gatherers::sharing;
+use crate::coordination::gatherers::role;
+use crate::coordination::shares::Role;
 use crate::protocol::peer::{Beat, Hello, VERSION};
 use crate::state::docs::{Applied, Doc, DocChange, Docs};
 use crate::state::members::{Member, Members};
@@ -112,9 +113,9 @@
         self.members.lock().count_in(&self.opts.me.domain).max(1)
     }
 
-    /// Returns the number of gatherers, if this instance is one of them.
-    pub fn gatherers(&self) -> Option<usize> {
-        sharing(&self.opts.me, &self.members())
+    /// Returns what this instance does for requests over shards.
+    pub fn role(&self) -> Role {
+        role(&self.opts.me, &self.members())
     }
 
     /// Returns the names of listed members of the own failure domain that are silent for long.
--- a/src/transport/upstreams/run.rs
+++ b/src/transport/upstreams/run.rs
@@ -71,7 +71,7 @@
     let ratio = opts.shards.first().map(|pool| extra_options(tier, view, *pool).ratio);
     let times = Times::learnt(tier, route, aim, ratio.unwrap_or_default());
     let asked = Asked { id, out, idempotent: opts.idempotent, times, until: opts.hard };
-    let scene = TierScene { tier, view, times };
+    let scene = TierScene { tier, view, times, gathers: opts.shards.len() > 1 };
     let run = Run { tier, scene, route, asked: Arc::new(asked), parts: Vec::new(), failure: None };
     run.drive(opts).await
 }
--- a/src/transport/upstreams/scene.rs
+++ b/src/transport/upstreams/scene.rs
@@ -7,6 +7,7 @@
 use crate::coordination::extras::{ExtraOptions, Extras};
 use crate::coordination::learned::{Choice, pick};
 use crate::coordination::scatter::Scene;
+use crate::coordination::shares::Role;
 use crate::state::arena::{PoolKey, RouteKey, ServerKey};
 use crate::state::picture::{Server, View};
 use crate::state::time::Tick;
@@ -56,6 +57,8 @@
     pub(crate) tier: &'a Tier,
     pub(crate) view: &'a View,
     pub(crate) times: Times,
+    /// The request is over shards.
+    pub(crate) gathers: bool,
 }
 
 impl TierScene<'_> {
@@ -112,8 +115,10 @@
     }
 
     fn spend(&mut self, pool: PoolKey, now: Tick) -> bool {
-        let (opts, instances) = (extra_options(self.tier, self.view, pool), self.tier.instances());
-        let ok = self.tier.extras.with_or(pool, || Extras::new(opts), |e| e.spend(instances, now));
+        let opts = extra_options(self.tier, self.view, pool);
+        let role = if self.gathers { self.tier.role() } else { Role::Alone };
+        let part = role.part(self.tier.instances());
+        let ok = self.tier.extras.with_or(pool, || Extras::new(opts), |e| e.spend(part, now));
         self.tier.meters.extras.with_label_values(&[if ok { "yes" } else { "no" }]).inc();
         ok
     }
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -14,7 +14,7 @@
 use crate::coordination::lifecycle::StopOptions;
 use crate::coordination::limiter::Limiter;
 use crate::coordination::quantile::Quantile;
-use crate::coordination::shares;
+use crate::coordination::shares::{self, Role};
 use crate::coordination::split::Draw;
 use crate::coordination::window::Window;
 use crate::protocol::wire::ServerWire;
@@ -127,7 +127,7 @@
     able: AtomicBool,
     flights: AtomicUsize,
     gathered: AtomicUsize,
-    gatherers: AtomicUsize,
+    role: Mutex<Role>,
     asked: Mutex<Window>,
     pub(crate) lag: Mutex<Lag>,
 }
@@ -152,7 +152,7 @@
             able: AtomicBool::new(true),
             flights: AtomicUsize::new(0),
             gathered: AtomicUsize::new(0),
-            gatherers: AtomicUsize::new(0),
+            role: Mutex::default(),
             asked: Mutex::new(Window::new(RECENT)),
             lag: Mutex::default(),
         }
@@ -178,17 +178,20 @@
     /// A server may still count those of this instance's former run, so a young process has half.
     pub(crate) fn connections(&self, limit: u32, now: Tick) -> u32 {
         let young = now.since(Tick::default()) < self.opts.extras.span;
-        let gatherers = self.gatherers.load(Ordering::Relaxed);
-        let share = shares::connections(limit, self.instances(), gatherers);
+        let share = shares::connections(limit, self.instances(), self.role());
         if young { (share / 2).max(1) } else { share }
     }
 
-    /// Sets the number of gatherers of requests over shards, if this instance is one of them.
-    pub fn set_gatherers(&self, count: Option<usize>) {
-        let count = count.unwrap_or_default();
-        let before = self.gatherers.swap(count, Ordering::Relaxed);
-        if (before == 0) != (count == 0) {
-            log::info!(gathers = (count > 0), gatherers = count; "this instance gathers for others");
+    /// Returns what this instance does for requests over shards.
+    pub(crate) fn role(&self) -> Role {
+        *self.role.lock()
+    }
+
+    /// Sets what this instance does for requests over shards.
+    pub fn set_role(&self, role: Role) {
+        let before = std::mem::replace(&mut *self.role.lock(), role);
+        if before != role {
+            log::info!(before:? = before, now:? = role; "role for requests over shards");
         }
     }
 
--- a/tests/gatherers.rs
+++ b/tests/gatherers.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 use support::ms;
 use tamarackdeck::{
-    Asker, InstanceId, Member, Outgoing, Query, QueryTimes, connections, gatherers, sharing,
+    Asker, InstanceId, Member, Outgoing, Query, QueryTimes, Role, connections, gatherers, role,
 };
 
 fn member((name, domain, power): &(&str, &str, u32)) -> Member {
@@ -102,7 +102,7 @@
         members.iter().filter(asks).count()
     };
     assert_eq!((hands_on(0.5), hands_on(10.0)), (13, 0), "three of sixteen gather for the rest");
-    let gather = members.iter().filter(|me| sharing(me, &members) == Some(3)).count();
+    let gather = members.iter().filter(|me| role(me, &members) == Role::Gatherer(3)).count();
     assert_eq!(gather, 3, "each knows whether it does, and how many do");
 }
 
@@ -110,21 +110,33 @@
     name: &'static str,
     limit: u32,
     instances: usize,
-    gatherers: usize,
+    role: Role,
     share: u32,
 }
 
 const SHARES: &[ShareCase] = &[
-    ShareCase { name: "enough for all", limit: 26, instances: 9, gatherers: 9, share: 2 },
-    ShareCase { name: "a gatherer", limit: 56, instances: 68, gatherers: 6, share: 4 },
-    ShareCase { name: "none", limit: 56, instances: 68, gatherers: 0, share: 1 },
-    ShareCase { name: "more gatherers than room", limit: 8, instances: 68, gatherers: 9, share: 1 },
+    ShareCase {
+        name: "enough for all",
+        limit: 26,
+        instances: 9,
+        role: Role::Gatherer(9),
+        share: 2,
+    },
+    ShareCase { name: "a gatherer", limit: 56, instances: 68, role: Role::Gatherer(6), share: 4 },
+    ShareCase { name: "an asker", limit: 56, instances: 68, role: Role::Asker, share: 1 },
+    ShareCase {
+        name: "more gatherers than room",
+        limit: 8,
+        instances: 68,
+        role: Role::Gatherer(9),
+        share: 1,
+    },
 ];
 
 #[test]
 fn gatherers_have_more_of_few_connections() {
     for case in SHARES {
-        let share = connections(case.limit, case.instances, case.gatherers);
+        let share = connections(case.limit, case.instances, case.role);
         assert_eq!(share, case.share, "{}", case.name);
     }
 }
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -7,7 +7,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use support::{ms, seeds};
-use tamarackdeck::{ColdGate, ExtraOptions, Extras, Tick, connections};
+use tamarackdeck::{ColdGate, ExtraOptions, Extras, Role, Tick, connections};
 
 const SPAN: Duration = Duration::from_secs(10);
 const OPTS: ExtraOptions = ExtraOptions { ratio: 0.2, fixed: 58.0, span: SPAN };
@@ -18,6 +18,7 @@
     extras: Extras,
     /// Instances that it counts; never fewer than there are.
     counts: usize,
+    role: Role,
 }
 
 /// Instances with different loads and views, killed and started again at any moment; all spend
@@ -28,21 +29,32 @@
     let n = rng.random_range(2..12usize);
     let counts = |rng: &mut StdRng| n + rng.random_range(0..4);
     let rates: Vec<f64> = (0..n).map(|_| rng.random_range(0.1..2.0)).collect();
+    let gatherers = rng.random_range(0..=n);
+    let role = |i: usize, rng: &mut StdRng| match (gatherers, i < gatherers) {
+        (0, _) => Role::Alone,
+        (_, true) => Role::Gatherer(gatherers + rng.random_range(0..2)),
+        (_, false) => Role::Asker,
+    };
     let mut instances: Vec<Instance> = (0..n)
-        .map(|_| Instance { start: 0, extras: Extras::new(OPTS), counts: counts(&mut rng) })
+        .map(|i| Instance {
+            start: 0,
+            extras: Extras::new(OPTS),
+            counts: counts(&mut rng),
+            role: role(i, &mut rng),
+        })
         .collect();
     let (mut requests, mut extras) = (Vec::new(), Vec::new());
     for at in (0..60_000u64).step_by(20) {
         for (i, rate) in instances.iter_mut().zip(&rates) {
             if rng.random_bool(0.000_2) {
-                *i = Instance { start: at, extras: Extras::new(OPTS), counts: i.counts };
+                *i = Instance { start: at, extras: Extras::new(OPTS), ..*i };
             }
             let now = ms(at - i.start);
             if rng.random_bool(rate * 0.2) {
                 i.extras.request(now);
                 requests.push(at);
             }
-            while rng.random_bool(0.9) && i.extras.spend(i.counts, now) {
+            while rng.random_bool(0.9) && i.extras.spend(i.role.part(i.counts), now) {
                 extras.push(at);
             }
         }
@@ -108,7 +120,9 @@
     for case in SPENDS {
         let mut extras = Extras::new(OPTS);
         (0..case.requests).for_each(|_| extras.request(ms(case.at)));
-        let spent = (0..1_000).filter(|_| extras.spend(case.instances, ms(case.at))).count();
+        let spent = (0..1_000)
+            .filter(|_| extras.spend(Role::Alone.part(case.instances), ms(case.at)))
+            .count();
         assert_eq!(spent as u32, case.spent, "{}", case.name);
         assert_eq!(extras.spent(ms(case.at)), case.spent, "{}", case.name);
         let later = ms(case.at + 12_000);
@@ -165,6 +179,11 @@
 #[test]
 fn connections_are_shared_evenly() {
     for case in SHARES {
-        assert_eq!(connections(case.limit, case.instances, 0), case.share, "{}", case.limit);
+        assert_eq!(
+            connections(case.limit, case.instances, Role::Alone),
+            case.share,
+            "{}",
+            case.limit
+        );
     }
 }
