--- a/src/transport/callers/hand.rs
+++ b/src/transport/callers/hand.rs
@@ -17,7 +17,7 @@
 use crate::state::time::Tick;
 use crate::transport::callers::pass::{Pass, declined, merged};
 use crate::transport::http::FullResponse;
-use crate::transport::peers::gather::{Gather, Gatherer};
+use crate::transport::peers::gather::{Gather, Gatherer, Lost};
 use crate::transport::upstreams::run::{GivenUp, Job, run};
 
 impl<W: CallerWire> Pass<W> {
@@ -28,8 +28,7 @@
         let (me, rate) = (&peers.opts.me, self.tier.gather_rate());
         let members = peers.members();
         let asker = Asker { me, rate, shards: gathering.shards.len() };
-        let list = gatherers(asker, &held, &members);
-        peers.gatherer(&list)
+        peers.gatherer(&gatherers(asker, &held, &members))
     }
 
     /// Hands a request on; `None` if it was not taken and nothing was sent to any server.
@@ -46,30 +45,27 @@
         let times = Times { sent, soft: left(job.opts.soft), hard: left(job.opts.hard) };
         let named = (self.tier.names.route_name(route.key), version);
         let query = Query::new(&job.id, named, &job.out, times);
-        let ended = gatherer.hand(query).await;
-        let (id, name) = (job.id.as_str(), gatherer.name());
-        match ended {
+        let failed = Some(Err(Declined::Failed));
+        let (word, missing, end) = match gatherer.hand(query).await {
             Ok(QueryEnd::Answer { body, signatures, missing }) => {
-                self.tier.meters.handed.with_label_values(&["answered"]).inc();
-                Some(self.handed_answer(body, &signatures, missing))
+                ("answered", missing, Some(self.handed_answer(body, &signatures, missing)))
             }
             Ok(QueryEnd::NotTaken(why)) => {
-                self.tier.meters.handed.with_label_values(&["not_taken"]).inc();
-                log::info!(request = id, gatherer = name, why = why.as_str(); "not taken, gathered here");
-                None
-            }
-            Ok(end) => {
-                self.tier.meters.handed.with_label_values(&["given_up"]).inc();
-                log::info!(request = id, gatherer = name, end:? = end; "given up by its gatherer");
-                let late = end == QueryEnd::GivenUp { late: true };
-                Some(Err(declined(end != QueryEnd::NotRun, late)))
-            }
-            Err(lost) => {
-                self.tier.meters.handed.with_label_values(&["lost"]).inc();
-                log::info!(request = id, gatherer = name, lost:? = lost; "given up with its gatherer");
-                Some(Err(Declined::Failed))
+                let why = why.as_str();
+                log::info!(request = job.id.as_str(), gatherer = gatherer.name(), why; "not taken");
+                ("not_taken", 0, None)
             }
+            Ok(QueryEnd::NotRun) => ("not_run", 0, Some(Err(declined(false, false)))),
+            Ok(QueryEnd::GivenUp { late }) => ("given_up", 0, Some(Err(declined(true, late)))),
+            Err(Lost::Broken) => ("broken", 0, failed),
+            Err(Lost::Silent) => ("silent", 0, failed),
+        };
+        self.tier.meters.handed.with_label_values(&[word]).inc();
+        if word != "answered" || missing > 0 {
+            let (request, gatherer) = (job.id.as_str(), gatherer.name());
+            log::info!(request, gatherer, end = word, missing; "handed to a gatherer");
         }
+        end
     }
 
     fn handed_answer(
