A gatherer with another version of the routes is asked again at once

A request that met a gatherer with another version was gathered here, and the gatherer was left out and its link closed for a second more, so that cold connections were used meanwhile. Ruled out: the news itself (in force everywhere within 30 ms of each other).

--- a/src/coordination/gatherers.rs
+++ b/src/coordination/gatherers.rs
@@ -5,8 +5,10 @@
 //! back take the place of one for each shard.
 
 use std::cmp::Reverse;
+use std::time::Duration;
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use crate::coordination::shares::Role;
 use crate::state::arena::PoolKey;
@@ -36,6 +38,40 @@
     pub shards: usize,
 }
 
+/// Time for which a gatherer that does not take requests is left out.
+const LEFT_OUT: Duration = Duration::from_secs(1);
+
+/// Why a gatherer does not take a request; nothing was sent to any server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum NotTaken {
+    /// It has another version of the routes, for as long as news takes to come.
+    Version,
+    /// The message came too late to act on.
+    Late,
+    /// It is leaving.
+    Leaving,
+    /// It reaches too few shards.
+    Cut,
+    /// The request does not fit its routes or is not valid.
+    Unfit,
+}
+
+impl NotTaken {
+    /// Returns how long the gatherer is left out for.
+    pub fn leaves_out(self) -> Duration {
+        match self {
+            NotTaken::Version | NotTaken::Unfit => Duration::ZERO,
+            NotTaken::Late | NotTaken::Leaving | NotTaken::Cut => LEFT_OUT,
+        }
+    }
+
+    /// Says whether the link's least delay may be wrong, since a clock at one end stood still.
+    pub fn doubts_link(self) -> bool {
+        self == NotTaken::Late
+    }
+}
+
 /// Returns the number of shards that each failure domain has an open server of which is `lit`.
 pub fn holders<'a>(
     view: &'a View,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,7 @@
 };
 pub use coordination::darkness::Darkness;
 pub use coordination::extras::{ExtraOptions, Extras};
-pub use coordination::gatherers::{Asker, gatherers, holders, role};
+pub use coordination::gatherers::{Asker, NotTaken, gatherers, holders, role};
 pub use coordination::lag::{LOOK as LAG_LOOK, Lag};
 pub use coordination::learned::{Choice, Learned, RunTold, pick};
 pub use coordination::lifecycle::{
--- a/src/protocol/gather.rs
+++ b/src/protocol/gather.rs
@@ -8,6 +8,7 @@
 use hyper::{HeaderMap, Method, Uri};
 use serde::{Deserialize, Serialize};
 
+use crate::coordination::gatherers::NotTaken;
 use crate::protocol::wire::Outgoing;
 use crate::state::time::Tick;
 
@@ -57,8 +58,8 @@
         /// Shards that are left out.
         missing: usize,
     },
-    /// Nothing was sent to any server, and the sender may gather it itself; the reason.
-    NotTaken(String),
+    /// Nothing was sent to any server, and the sender may gather it itself.
+    NotTaken(NotTaken),
     /// No server ran it.
     NotRun,
     /// Some server may have run it; whether its time was over.
--- a/src/transport/callers/hand.rs
+++ b/src/transport/callers/hand.rs
@@ -8,7 +8,7 @@
 use futures::{FutureExt, TryFutureExt};
 use hyper::header::HeaderValue;
 
-use crate::coordination::gatherers::{Asker, gatherers, holders};
+use crate::coordination::gatherers::{Asker, NotTaken, gatherers, holders};
 use crate::coordination::scatter::ScatterOptions;
 use crate::protocol::gather::{Query, QueryEnd, Times};
 use crate::protocol::wire::{CallerWire, Declined};
@@ -51,8 +51,8 @@
                 ("answered", missing, Some(self.handed_answer(body, &signatures, missing)))
             }
             Ok(QueryEnd::NotTaken(why)) => {
-                let why = why.as_str();
-                log::info!(request = job.id.as_str(), gatherer = gatherer.name(), why; "not taken");
+                let (request, gatherer) = (job.id.as_str(), gatherer.name());
+                log::info!(request, gatherer, why:? = why; "not taken");
                 ("not_taken", 0, None)
             }
             Ok(QueryEnd::NotRun) => ("not_run", 0, Some(Err(declined(false, false)))),
@@ -89,25 +89,28 @@
         &self,
         query: &Query,
         age: Duration,
-    ) -> Result<(Job, Arc<View>, Gathering), String> {
+    ) -> Result<(Job, Arc<View>, Gathering), NotTaken> {
         let view = self.tier.view();
-        let table = view.table.clone().ok_or("knows no routes")?;
+        let table = view.table.clone().ok_or(NotTaken::Version)?;
         if table.version != query.version {
-            return Err(format!("has version {}, not {}", table.version, query.version));
+            return Err(NotTaken::Version);
         }
         if self.tier.leaving() {
-            return Err("is leaving".to_owned());
+            return Err(NotTaken::Leaving);
         }
-        let key = self.tier.names.known_route(&query.route).ok_or("no such route")?;
-        let route = table.routes.iter().find(|r| r.key == key).ok_or("no such route")?;
+        let key = self.tier.names.known_route(&query.route).ok_or(NotTaken::Unfit)?;
+        let route = table.routes.iter().find(|r| r.key == key).ok_or(NotTaken::Unfit)?;
         let Target::Gather(gathering) = &route.target else {
-            return Err("not a route over shards".to_owned());
+            return Err(NotTaken::Unfit);
         };
         if self.tier.refuses(route) {
-            return Err("reaches too few shards".to_owned());
+            return Err(NotTaken::Cut);
         }
         let at = self.tier.now();
-        let out = query.outgoing().map_err(|e| format!("{e:#}"))?;
+        let out = query.outgoing().map_err(|e| {
+            log::warn!(request = query.id.as_str(); "request of a peer: {e:#}");
+            NotTaken::Unfit
+        })?;
         let opts = ScatterOptions {
             shards: gathering.shards.clone(),
             attempts: route.attempts.max(1),
--- a/src/transport/peers/gather.rs
+++ b/src/transport/peers/gather.rs
@@ -15,6 +15,7 @@
 use tarpc::client::RpcError;
 use tarpc::context;
 
+use crate::coordination::gatherers::NotTaken;
 use crate::protocol::gather::{Query, QueryEnd};
 use crate::state::members::Member;
 use crate::state::time::Tick;
@@ -25,8 +26,6 @@
 const ROUND: Duration = Duration::from_millis(500);
 /// Time after its last use from which a gatherer's link is no longer kept up.
 const UNUSED: Duration = Duration::from_secs(20);
-/// Time for which a gatherer that did not take a request is left out.
-const DECLINED: Duration = Duration::from_secs(1);
 /// Time beyond the answer's due time after which the gatherer is asked whether it is there.
 const OVERDUE: Duration = Duration::from_millis(15);
 /// Longest time for a gatherer's answer to a ping, beside the round trip.
@@ -133,9 +132,9 @@
     pub(crate) async fn gather_for(&self, query: Query, delays: &Delays) -> QueryEnd {
         let age = delays.age(query.sent, self.now());
         match self.gather.get() {
-            Some(_) if age >= STALE => QueryEnd::NotTaken("came too late".to_owned()),
+            Some(_) if age >= STALE => QueryEnd::NotTaken(NotTaken::Late),
             Some(gather) => gather.clone().gather(query, age).await,
-            None => QueryEnd::NotTaken("gathers nothing".to_owned()),
+            None => QueryEnd::NotTaken(NotTaken::Unfit),
         }
     }
 }
@@ -183,11 +182,8 @@
         match ended {
             Ok(end) => {
                 self.link.heard(None);
-                if let QueryEnd::NotTaken(_) = &end {
-                    // its clock may have stood still, and delays are measured anew on a new link
-                    self.peers.links.close(&[self.member.addr]);
-                    let until = self.peers.now() + DECLINED;
-                    self.peers.gatherers.leave_out(self.member.addr, Left::Until(until));
+                if let QueryEnd::NotTaken(why) = &end {
+                    self.not_taken(*why);
                 }
                 Ok(end)
             }
@@ -196,6 +192,14 @@
         }
     }
 
+    fn not_taken(&self, why: NotTaken) {
+        let until = self.peers.now() + why.leaves_out();
+        self.peers.gatherers.leave_out(self.member.addr, Left::Until(until));
+        if why.doubts_link() {
+            self.peers.links.close(&[self.member.addr]);
+        }
+    }
+
     fn lost(&self, lost: Lost) -> Result<QueryEnd, Lost> {
         self.peers.gatherers.leave_out(self.member.addr, Left::UntilPing);
         self.peers.links.close(&[self.member.addr]);
--- a/tests/gatherers.rs
+++ b/tests/gatherers.rs
@@ -7,7 +7,8 @@
 use indexmap::IndexMap;
 use support::ms;
 use tamarackdeck::{
-    Asker, InstanceId, Member, Outgoing, Query, QueryTimes, Role, connections, gatherers, role,
+    Asker, InstanceId, Member, NotTaken, Outgoing, Query, QueryTimes, Role, connections, gatherers,
+    role,
 };
 
 fn member((name, domain, power): &(&str, &str, u32)) -> Member {
@@ -141,6 +142,29 @@
     }
 }
 
+struct NotTakenCase {
+    why: NotTaken,
+    left_out: bool,
+    doubts_link: bool,
+}
+
+const NOT_TAKEN: &[NotTakenCase] = &[
+    NotTakenCase { why: NotTaken::Version, left_out: false, doubts_link: false },
+    NotTakenCase { why: NotTaken::Unfit, left_out: false, doubts_link: false },
+    NotTakenCase { why: NotTaken::Leaving, left_out: true, doubts_link: false },
+    NotTakenCase { why: NotTaken::Cut, left_out: true, doubts_link: false },
+    NotTakenCase { why: NotTaken::Late, left_out: true, doubts_link: true },
+];
+
+#[test]
+fn a_gatherer_with_another_version_is_asked_again_at_once() {
+    for case in NOT_TAKEN {
+        let why = case.why;
+        assert_eq!(!why.leaves_out().is_zero(), case.left_out, "{why:?}");
+        assert_eq!(why.doubts_link(), case.doubts_link, "{why:?}");
+    }
+}
+
 struct QueryCase {
     name: &'static str,
     header: (&'static str, &'static [u8]),
