--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -531,16 +531,8 @@
     assert!(red.is_empty(), "{red:#?}");
 }
 
-macro_rules! groups {
-    ($($name:ident: $cases:ident;)*) => {$(
-        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-        async fn $name() {
-            run_all($cases).await;
-        }
-    )*};
-}
-
-groups! {
+standins::groups! {
+    run_all;
     leaving: LEAVING;
     cold: COLD;
     cuts: CUTS;
