A request that waited in a suspended gatherer's socket is refused, the first of a link too

Cause: a gatherer told old messages by the minimum delay of its link, which it learned from the first request, whatever that one's age. Change: the handshake and pings state the peer's time; a request states its time of sending by the gatherer's clock (coordination/peer_clock.rs, a table of cases). Protocol between instances is version 4.

--- a/src/coordination/gatherers.rs
+++ b/src/coordination/gatherers.rs
@@ -66,8 +66,8 @@
         }
     }
 
-    /// Returns whether the measured minimum delay of the link may be wrong because a process paused.
-    pub fn invalidates_link_delay(self) -> bool {
+    /// Returns whether the estimate of the gatherer's clock may be wrong, so that the link must be replaced.
+    pub fn invalidates_clock(self) -> bool {
         self == GatherRefusal::Late
     }
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod limiter;
 pub(crate) mod once;
 pub(crate) mod outlier;
+pub(crate) mod peer_clock;
 pub(crate) mod query;
 pub(crate) mod reachability;
 pub(crate) mod retry_budget;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
     Claim, ClaimAction, Step, WriteOutcome, settle_claim, step_after_create, step_after_read,
 };
 pub use coordination::outlier::OutlierDetector;
+pub use coordination::peer_clock::{MAX_CLOCK_ERROR, PeerClock};
 pub use coordination::query::{Answer, MissingReason};
 pub use coordination::reachability::is_unreachable;
 pub use coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
--- a/src/protocol/gather.rs
+++ b/src/protocol/gather.rs
@@ -26,7 +26,7 @@
     uri: String,
     headers: Vec<(String, Bytes)>,
     body: Bytes,
-    /// Time of sending, by the sender's clock.
+    /// Time of sending, by the gatherer's clock as the sender estimates it.
     pub sent: Tick,
     /// Time from sending until it is answered with the parts that have arrived.
     pub soft: Duration,
@@ -37,7 +37,7 @@
 /// The time of sending and the deadlines of a forwarded request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct GatherTimes {
-    /// Time of sending, by the sender's clock.
+    /// Time of sending, by the gatherer's clock as the sender estimates it.
     pub sent: Tick,
     /// Time from sending until it is answered with the parts that have arrived.
     pub soft: Duration,
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -9,9 +9,10 @@
 use crate::protocol::gather::{GatherRequest, GatherResult};
 use crate::state::docs::{Doc, DocDelta};
 use crate::state::members::{InstanceId, Member};
+use crate::state::time::Tick;
 
 /// Version of the protocol between instances; links between different versions are refused.
-pub const PROTOCOL_VERSION: u32 = 3;
+pub const PROTOCOL_VERSION: u32 = 4;
 
 /// The first message on a link, sent by the instance that opened it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,17 +32,22 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum HelloReply {
-    /// The link is accepted by this instance.
+    /// The link is accepted.
     #[serde(rename = "yes")]
-    Accepted(InstanceId),
+    Accepted {
+        /// The instance that accepts it.
+        by: InstanceId,
+        /// Its current time.
+        now: Tick,
+    },
     /// The link is refused for this reason.
     #[serde(rename = "no")]
     Refused(String),
 }
 
 impl Hello {
-    /// Returns the reply of instance `me` of `deployment`.
-    pub fn reply(&self, deployment: &str, me: &InstanceId) -> HelloReply {
+    /// Returns the reply of instance `me` of `deployment` at its time `now`.
+    pub fn reply(&self, deployment: &str, me: &InstanceId, now: Tick) -> HelloReply {
         if self.deployment != deployment {
             HelloReply::Refused(format!(
                 "this is deployment `{deployment}`, not `{}`",
@@ -55,7 +61,7 @@
         } else if self.from.0.is_empty() || self.domain.is_empty() {
             HelloReply::Refused("the hello names no instance or no failure domain".into())
         } else {
-            HelloReply::Accepted(me.clone())
+            HelloReply::Accepted { by: me.clone(), now }
         }
     }
 }
@@ -77,8 +83,8 @@
 /// Remote procedure calls between instances.
 #[tarpc::service]
 pub trait Peer {
-    /// Checks that the link is alive.
-    async fn ping();
+    /// Checks that the link is alive, and returns the current time of the instance.
+    async fn ping() -> Tick;
     /// Exchanges heartbeats.
     async fn beat(beat: Heartbeat) -> Heartbeat;
     /// Returns the documents that are newer than the versions in `have`.
--- a/src/transport/callers/forward.rs
+++ b/src/transport/callers/forward.rs
@@ -47,8 +47,10 @@
         version: u64,
     ) -> Option<Result<FullResponse, DeclineReason>> {
         let now = self.tier.now();
-        let time_left = |at: Tick| at.since(now).saturating_sub(gatherer.round_trip());
-        let sent = gatherer.now();
+        // the gatherer takes the way there off itself, by the time of sending
+        let way_back = gatherer.round_trip() / 2;
+        let time_left = |at: Tick| at.since(now).saturating_sub(way_back);
+        let sent = gatherer.time();
         let times = GatherTimes {
             sent,
             soft: time_left(job.opts.soft_deadline),
--- a/src/transport/peers/gather.rs
+++ b/src/transport/peers/gather.rs
@@ -5,7 +5,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicI64, Ordering};
 use std::time::{Duration, Instant};
 
 use futures::future::{BoxFuture, join_all};
@@ -30,12 +29,14 @@
 const ANSWER_GRACE: Duration = Duration::from_millis(15);
 /// Timeout of a ping to a gatherer, on top of the round trip.
 const PING_TIMEOUT: Duration = Duration::from_millis(100);
-/// Delay of a message above the minimum of its link from which it is refused as too old.
+/// Age of a message from which it is refused as too old.
 const MAX_MESSAGE_AGE: Duration = Duration::from_millis(500);
+/// Error of the estimate of a gatherer's clock from which it is pinged to improve it.
+const CLOCK_ERROR_TOLERANCE: Duration = Duration::from_millis(10);
 
 /// A handler that gathers requests for peers.
 pub trait GatherHandler: Send + Sync + 'static {
-    /// Gathers a request whose delay on the link exceeded the link's minimum by `age`.
+    /// Gathers a request that was sent `age` ago.
     fn gather(
         self: Arc<Self>,
         request: GatherRequest,
@@ -136,13 +137,9 @@
         Some(usable.swap_remove(*index))
     }
 
-    /// Gathers a request from a peer; refuses it if it is too old by the link's minimum delay.
-    pub(crate) async fn gather_for_peer(
-        &self,
-        request: GatherRequest,
-        min_delay: &MinDelay,
-    ) -> GatherResult {
-        let age = min_delay.age(request.sent, self.now());
+    /// Gathers a request from a peer; refuses it if it was sent too long ago.
+    pub(crate) async fn gather_for_peer(&self, request: GatherRequest) -> GatherResult {
+        let age = self.now().since(request.sent);
         match self.gather_handler.get() {
             Some(_) if age >= MAX_MESSAGE_AGE => GatherResult::NotTaken(GatherRefusal::Late),
             Some(handler) => handler.clone().gather(request, age).await,
@@ -157,12 +154,12 @@
         self.member.id.name()
     }
 
-    /// Returns the current time by the clock that timestamps messages to peers.
-    pub(crate) fn now(&self) -> Tick {
-        self.peers.now()
+    /// Returns the gatherer's current time, as this instance estimates it.
+    pub(crate) fn time(&self) -> Tick {
+        self.link.peer_time()
     }
 
-    /// Returns the round-trip time of the link; zero until it is measured.
+    /// Returns the round-trip time of the link.
     pub(crate) fn round_trip(&self) -> Duration {
         self.link.round_trip()
     }
@@ -214,7 +211,7 @@
     fn record_refusal(&self, refusal: GatherRefusal) {
         let end = self.peers.now() + refusal.exclusion_time();
         self.peers.gatherers.exclude(self.member.addr, Exclusion::Until(end));
-        if refusal.invalidates_link_delay() {
+        if refusal.invalidates_clock() {
             self.peers.links.close(&[self.member.addr]);
         }
     }
@@ -229,15 +226,7 @@
 }
 
 async fn ping(link: &Link) -> bool {
-    let mut cx = context::current();
-    let (started, limit) = (Instant::now(), PING_TIMEOUT + link.round_trip());
-    cx.deadline = started + limit;
-    let alive = tokio::time::timeout(limit, link.client.ping(cx)).await;
-    let alive = alive.is_ok_and(|answer| answer.is_ok());
-    if alive {
-        link.record_response(Some(started.elapsed()));
-    }
-    alive
+    link.ping(PING_TIMEOUT + link.round_trip()).await
 }
 
 /// Keeps the links to the gatherers in use open, and pings the excluded ones.
@@ -254,31 +243,9 @@
 
 async fn maintain_link(peers: &Arc<Peers>, addr: SocketAddr, is_excluded: bool) {
     let Ok(link) = peers.link(addr).await else { return };
-    let is_round_trip_unknown = link.round_trip().is_zero();
-    if (is_excluded || is_round_trip_unknown) && ping(&link).await && peers.gatherers.readmit(addr)
-    {
+    let is_clock_inaccurate = link.peer_time_error() > CLOCK_ERROR_TOLERANCE;
+    if (is_excluded || is_clock_inaccurate) && ping(&link).await && peers.gatherers.readmit(addr) {
         let gatherer = addr.to_string();
         log::info!(gatherer = gatherer.as_str(); "gatherer answers pings again; exclusion ended");
     }
 }
-
-/// The minimum delay of the messages of one link, in microseconds.
-///
-/// It is measured with the clocks of both ends, so it includes their offset and may be negative.
-#[derive(Debug)]
-pub(crate) struct MinDelay(AtomicI64);
-
-impl Default for MinDelay {
-    fn default() -> Self {
-        Self(AtomicI64::new(i64::MAX))
-    }
-}
-
-impl MinDelay {
-    /// Returns by how much the delay of a message exceeds the minimum, and updates the minimum.
-    fn age(&self, sent: Tick, received: Tick) -> Duration {
-        let delay = received.0 as i64 - sent.0 as i64;
-        let min = self.0.fetch_min(delay, Ordering::Relaxed).min(delay);
-        Duration::from_micros((delay - min) as u64)
-    }
-}
--- a/src/transport/peers/links.rs
+++ b/src/transport/peers/links.rs
@@ -17,8 +17,11 @@
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
+use crate::coordination::peer_clock::{MAX_CLOCK_ERROR, PeerClock};
 use crate::protocol::frames::{FrameTransport, MAX_FRAME_BYTES, decode_batch, encode_batch};
 use crate::protocol::peer::{Hello, HelloReply, PeerClient};
+use crate::state::time::Tick;
+use crate::transport::clock::Clock;
 use crate::transport::http::AbortOnDrop;
 
 /// Timeout for opening a link, including the handshake.
@@ -38,6 +41,8 @@
     task: AbortOnDrop,
     round_trip_us: AtomicU32,
     contact: Mutex<Contact>,
+    clock: Clock,
+    peer_clock: Mutex<PeerClock>,
 }
 
 struct Contact {
@@ -59,11 +64,34 @@
         }
     }
 
-    /// Returns the mean round-trip time; zero until it is measured.
+    /// Returns the mean round-trip time.
     pub(crate) fn round_trip(&self) -> Duration {
         Duration::from_micros(self.round_trip_us.load(Ordering::Relaxed).into())
     }
 
+    /// Returns the current time of the peer, as estimated from the handshake and pings.
+    pub(crate) fn peer_time(&self) -> Tick {
+        self.peer_clock.lock().peer_time(self.clock.now())
+    }
+
+    /// Returns the maximum error of [`peer_time`](Self::peer_time).
+    pub(crate) fn peer_time_error(&self) -> Duration {
+        self.peer_clock.lock().max_error(self.clock.now())
+    }
+
+    /// Pings the peer and returns whether it answered within `limit`.
+    pub(crate) async fn ping(&self, limit: Duration) -> bool {
+        let sent = self.clock.now();
+        let mut cx = context::current();
+        cx.deadline = Instant::now() + limit;
+        let Ok(Ok(peer)) = timeout(limit, self.client.ping(cx)).await else { return false };
+        let received = self.clock.now();
+        let exchange = PeerClock::from_exchange(sent, peer, received);
+        self.record_response(Some(exchange.round_trip()));
+        self.peer_clock.lock().update(exchange, received);
+        true
+    }
+
     fn is_open(&self) -> bool {
         !self.task.0.is_finished()
             && self.contact.lock().unanswered_ping.is_none_or(|at| at.elapsed() < PING_TIMEOUT)
@@ -80,14 +108,7 @@
         contact.unanswered_ping = Some(Instant::now());
         drop(contact);
         let link = self.clone();
-        tokio::spawn(async move {
-            let started = Instant::now();
-            let mut cx = context::current();
-            cx.deadline = started + PING_TIMEOUT;
-            if link.client.ping(cx).await.is_ok() {
-                link.record_response(Some(started.elapsed()));
-            }
-        });
+        tokio::spawn(async move { link.ping(PING_TIMEOUT).await });
     }
 }
 
@@ -108,7 +129,12 @@
 
 impl Links {
     /// Returns the link to a peer, opening it if necessary.
-    pub(crate) async fn get(&self, addr: SocketAddr, hello: &Hello) -> Result<Arc<Link>> {
+    pub(crate) async fn get(
+        &self,
+        addr: SocketAddr,
+        hello: &Hello,
+        clock: Clock,
+    ) -> Result<Arc<Link>> {
         let open_lock = {
             let mut slots = self.slots.lock();
             let slot = slots.entry(addr).or_default();
@@ -126,7 +152,7 @@
         if let Some(link) = self.get_open(addr) {
             return Ok(link);
         }
-        let opened = timeout(OPEN_TIMEOUT, open(addr, hello, self.sent_bytes.clone()))
+        let opened = timeout(OPEN_TIMEOUT, open(addr, hello, clock, self.sent_bytes.clone()))
             .await
             .context("opening the link timed out")
             .flatten();
@@ -178,16 +204,30 @@
         .max_frame_size(Some(MAX_FRAME_BYTES))
 }
 
-async fn open(addr: SocketAddr, hello: &Hello, sent_bytes: Arc<AtomicU64>) -> Result<Link> {
+async fn open(
+    addr: SocketAddr,
+    hello: &Hello,
+    clock: Clock,
+    sent_bytes: Arc<AtomicU64>,
+) -> Result<Link> {
     let stream = TcpStream::connect(addr).await?;
     stream.set_nodelay(true)?;
     let (mut ws, _) =
         client_async_with_config(format!("ws://{addr}/peer"), stream, Some(websocket_config()))
             .await?;
+    let sent = clock.now();
     ws.send(Message::Binary(encode_batch(std::slice::from_ref(hello))?)).await?;
-    match read_reply(&mut ws).await? {
-        HelloReply::Accepted(_) => {}
+    let peer_time = match read_reply(&mut ws).await? {
+        HelloReply::Accepted { now, .. } => now,
         HelloReply::Refused(why) => bail!("peer refused the link: {why}"),
+    };
+    let received = clock.now();
+    let peer_clock = PeerClock::from_exchange(sent, peer_time, received);
+    if peer_clock.max_error(received) > MAX_CLOCK_ERROR {
+        bail!(
+            "the handshake took {:?}, too long to know the peer's clock",
+            peer_clock.round_trip()
+        );
     }
     let mut cfg = Config::default();
     cfg.max_in_flight_requests = MAX_IN_FLIGHT_REQUESTS;
@@ -197,7 +237,16 @@
         let _ = dispatch.await;
     });
     let contact = Mutex::new(Contact { last_response: Instant::now(), unanswered_ping: None });
-    Ok(Link { client, task: AbortOnDrop(task), round_trip_us: AtomicU32::new(0), contact })
+    let link = Link {
+        client,
+        task: AbortOnDrop(task),
+        round_trip_us: AtomicU32::new(0),
+        contact,
+        clock,
+        peer_clock: Mutex::new(peer_clock),
+    };
+    link.record_response(Some(peer_clock.round_trip()));
+    Ok(link)
 }
 
 async fn read_reply(ws: &mut WebSocketStream<TcpStream>) -> Result<HelloReply> {
--- a/src/transport/peers/mod.rs
+++ b/src/transport/peers/mod.rs
@@ -243,6 +243,6 @@
         if self.faults.is_peer_cut(addr) {
             anyhow::bail!("peer {addr} is cut off by an injected fault");
         }
-        self.links.get(addr, &self.hello()).await
+        self.links.get(addr, &self.hello(), self.clock).await
     }
 }
--- a/src/transport/peers/server.rs
+++ b/src/transport/peers/server.rs
@@ -20,7 +20,7 @@
 use crate::protocol::gather::{GatherRequest, GatherResult};
 use crate::protocol::peer::{Heartbeat, Hello, HelloReply, Peer};
 use crate::state::docs::{Doc, DocDelta};
-use crate::transport::peers::gather::MinDelay;
+use crate::state::time::Tick;
 use crate::transport::peers::{Peers, heartbeats, links};
 
 /// Timeout of the handshake on a new link.
@@ -62,7 +62,7 @@
             Message::Binary(buf) => decode_batch(&buf)?.pop().context("hello message is empty")?,
             _ => bail!("first message is not a binary hello"),
         };
-        let reply = hello.reply(&peers.opts.deployment, &peers.opts.me.id);
+        let reply = hello.reply(&peers.opts.deployment, &peers.opts.me.id, peers.now());
         ws.send(Message::Binary(encode_batch(std::slice::from_ref(&reply))?)).await?;
         if let HelloReply::Refused(why) = reply {
             bail!("refused the link from {}: {why}", hello.from.0);
@@ -71,7 +71,7 @@
     };
     let (ws, hello) = timeout(HELLO_TIMEOUT, handshake).await.context("handshake timed out")??;
     let frames = FrameTransport::new(ws, peers.links.sent_bytes.clone());
-    let server = PeerServer { peers, peer: Arc::new(hello), min_delay: Arc::default() };
+    let server = PeerServer { peers, peer: Arc::new(hello) };
     let channel = BaseChannel::with_defaults(frames);
     channel
         .execute(server.serve())
@@ -86,7 +86,6 @@
 struct PeerServer {
     peers: Arc<Peers>,
     peer: Arc<Hello>,
-    min_delay: Arc<MinDelay>,
 }
 
 impl PeerServer {
@@ -99,8 +98,9 @@
 }
 
 impl Peer for PeerServer {
-    async fn ping(self, _: context::Context) {
+    async fn ping(self, _: context::Context) -> Tick {
         self.block_if_cut_off().await;
+        self.peers.now()
     }
 
     async fn beat(self, _: context::Context, heartbeat: Heartbeat) -> Heartbeat {
@@ -134,6 +134,6 @@
 
     async fn gather(self, _: context::Context, request: GatherRequest) -> GatherResult {
         self.block_if_cut_off().await;
-        self.peers.gather_for_peer(request, &self.min_delay).await
+        self.peers.gather_for_peer(request).await
     }
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod rig;
 pub mod scenario;
 pub mod server;
+pub mod standstills;
 pub mod upstream;
 
 /// Generates one async test per table of cases; each passes its table to `$run_all`.
--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use proptest::prelude::*;
 use tamarackdeck::{
-    Claim, Doc, Head, Heartbeat, Hello, HelloReply, QueryAnswer, RequestOptions, Ticket,
+    Claim, Doc, Head, Heartbeat, Hello, HelloReply, QueryAnswer, RequestOptions, Tick, Ticket,
     decode_batch, encode_batch, parse_label, parse_load,
 };
 
@@ -117,8 +117,8 @@
         let mut hello =
             Hello { deployment: "default".into(), version, from: from.clone(), domain: "d".into() };
         (case.edit)(&mut hello);
-        match (hello.reply("default", &from), case.refused) {
-            (HelloReply::Accepted(_), None) => {}
+        match (hello.reply("default", &from, Tick(7)), case.refused) {
+            (HelloReply::Accepted { by, now }, None) => assert_eq!((by, now), (from, Tick(7))),
             (HelloReply::Refused(reason), Some(text)) => {
                 assert!(reason.contains(text), "{}: {reason}", case.name)
             }
--- a/tests/gatherers.rs
+++ b/tests/gatherers.rs
@@ -161,15 +161,15 @@
 struct RefusalCase {
     why: GatherRefusal,
     excluded: bool,
-    invalidates_link_delay: bool,
+    invalidates_clock: bool,
 }
 
 const REFUSALS: &[RefusalCase] = &[
-    RefusalCase { why: GatherRefusal::Version, excluded: false, invalidates_link_delay: false },
-    RefusalCase { why: GatherRefusal::Unfit, excluded: false, invalidates_link_delay: false },
-    RefusalCase { why: GatherRefusal::Leaving, excluded: true, invalidates_link_delay: false },
-    RefusalCase { why: GatherRefusal::Cut, excluded: true, invalidates_link_delay: false },
-    RefusalCase { why: GatherRefusal::Late, excluded: true, invalidates_link_delay: true },
+    RefusalCase { why: GatherRefusal::Version, excluded: false, invalidates_clock: false },
+    RefusalCase { why: GatherRefusal::Unfit, excluded: false, invalidates_clock: false },
+    RefusalCase { why: GatherRefusal::Leaving, excluded: true, invalidates_clock: false },
+    RefusalCase { why: GatherRefusal::Cut, excluded: true, invalidates_clock: false },
+    RefusalCase { why: GatherRefusal::Late, excluded: true, invalidates_clock: true },
 ];
 
 #[test]
@@ -177,7 +177,7 @@
     for case in REFUSALS {
         let why = case.why;
         assert_eq!(!why.exclusion_time().is_zero(), case.excluded, "{why:?}");
-        assert_eq!(why.invalidates_link_delay(), case.invalidates_link_delay, "{why:?}");
+        assert_eq!(why.invalidates_clock(), case.invalidates_clock, "{why:?}");
     }
 }
 
