--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -15,6 +15,7 @@
 
 use crate::load::Backend;
 use crate::platform::PlatformStandIn;
+use crate::standstills::Standstills;
 use crate::upstream::{UpstreamOptions, UpstreamStandIn};
 
 /// A service of the deployment; the replicas of a shard are spread over the failure domains in turn.
@@ -149,6 +150,7 @@
     pub platform: PlatformStandIn,
     pub upstreams: IndexMap<String, UpstreamStandIn>,
     pub instances: IndexMap<String, Process>,
+    pub standstills: Standstills,
     binary: PathBuf,
 }
 
@@ -173,8 +175,14 @@
         let platform =
             PlatformStandIn::start(SocketAddr::from(([127, 0, 0, 1], 0)), opts.list_delay).await?;
         let upstreams = start_upstreams(&opts).await?;
-        let mut rig =
-            Self { platform, upstreams, instances: IndexMap::new(), binary: binary.into(), opts };
+        let mut rig = Self {
+            platform,
+            upstreams,
+            instances: IndexMap::new(),
+            standstills: Standstills::start(),
+            binary: binary.into(),
+            opts,
+        };
         for domain in rig.opts.domains.clone() {
             for index in 0..rig.opts.instances_per_domain {
                 rig.add_instance(&format!("{domain}-{index}"), domain)?;
--- a/standins/src/scenario.rs
+++ b/standins/src/scenario.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result, ensure};
 use indexmap::IndexMap;
@@ -75,6 +75,8 @@
     pub upstreams: IndexMap<String, UpstreamStats>,
     /// Duration of the load and the steps.
     pub load_duration: Duration,
+    /// Time for which the machine stood still during the load and the steps.
+    pub stood_still: Duration,
 }
 
 /// Extra arrivals allowed per shard and ten seconds, from all instances, in addition to the share of requests.
@@ -153,12 +155,13 @@
         )
         .await;
     }
-    let start = tokio::time::Instant::now();
+    let start = Instant::now();
     let (report, outcomes) = run_load_and_steps(&mut rig, &balancer, &scenario).await?;
     let load_duration = start.elapsed();
     let upstreams =
         rig.upstreams.iter().map(|(name, upstream)| (name.clone(), upstream.stats())).collect();
-    Ok(ScenarioResult { rig, report, outcomes, upstreams, load_duration })
+    let stood_still = rig.standstills.total(start, Instant::now());
+    Ok(ScenarioResult { rig, report, outcomes, upstreams, load_duration, stood_still })
 }
 
 /// Runs the scenario's load on a running deployment and executes its steps at their offsets.
