Links to peers have buffers of 4 KB, and those out of use are closed

Links and addresses of members that were gone were kept for good. Change: read and write buffers of 4 KB; links without a response for 90 s, and addresses without a link, are dropped.

--- a/src/transport/peers/heartbeats.rs
+++ b/src/transport/peers/heartbeats.rs
@@ -19,6 +19,8 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 /// Rounds between two heartbeats to other failure domains, as links between domains are costly.
 const REMOTE_HEARTBEAT_ROUNDS: u64 = 5;
+/// Rounds between two searches for links that are no longer used.
+const LINK_CLEANUP_ROUNDS: u64 = 25;
 /// Timeout of a heartbeat.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Timeout for fetching or pushing documents.
@@ -29,9 +31,12 @@
 
 /// Sends heartbeats until the task is aborted.
 pub async fn run(peers: Arc<Peers>) {
-    let mut round = 0;
+    let mut round = 0u64;
     loop {
         let started = Instant::now();
+        if round.is_multiple_of(LINK_CLEANUP_ROUNDS) {
+            peers.links.close_unused();
+        }
         for addr in targets(&peers, round) {
             // spawned, so that a slow peer does not delay the next round
             tokio::spawn(send_heartbeat(peers.clone(), addr));
--- a/src/transport/peers/links.rs
+++ b/src/transport/peers/links.rs
@@ -32,6 +32,11 @@
 const PING_TIMEOUT: Duration = Duration::from_millis(800);
 /// Delay before the next attempt to connect to an unreachable peer.
 const RECONNECT_DELAY: Duration = Duration::from_millis(300);
+/// Time since its last use after which a link is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(90);
+/// Size of the read and the write buffer of a link; the library reserves and clears both for each read, and an
+/// instance has a link to most members.
+const BUFFER_BYTES: usize = 4 << 10;
 /// Maximum number of requests in flight on one link.
 const MAX_IN_FLIGHT_REQUESTS: usize = 16_384;
 
@@ -79,6 +84,10 @@
         self.peer_clock.lock().max_error(self.clock.now())
     }
 
+    fn last_response(&self) -> Instant {
+        self.contact.lock().last_response
+    }
+
     /// Pings the peer and returns whether it answered within `limit`.
     pub(crate) async fn ping(&self, limit: Duration) -> bool {
         let sent = self.clock.now();
@@ -186,6 +195,18 @@
         slots.iter().filter(|(_, s)| is_open(s)).map(|(a, _)| a.to_string()).collect()
     }
 
+    /// Closes the links that were not used for long, and forgets the addresses without a link or a recent failure.
+    pub(crate) fn close_unused(&self) {
+        let is_recent = |at: Instant| at.elapsed() < IDLE_TIMEOUT;
+        self.slots.lock().retain(|_, slot| {
+            slot.link =
+                slot.link.take().filter(|link| link.is_open() && is_recent(link.last_response()));
+            // an address whose link is being opened has another user of its lock
+            let is_opening = Arc::strong_count(&slot.open_lock) > 1;
+            slot.link.is_some() || is_opening || slot.failed_at.is_some_and(is_recent)
+        });
+    }
+
     /// Closes the links to these peers.
     pub(crate) fn close(&self, addrs: &[SocketAddr]) {
         let mut slots = self.slots.lock();
@@ -197,9 +218,11 @@
     }
 }
 
-/// Returns the WebSocket settings of a link, which limit the size of messages and frames.
+/// Returns the WebSocket settings of a link, which limit the size of messages, frames and buffers.
 pub(crate) fn websocket_config() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
         .max_message_size(Some(MAX_FRAME_BYTES))
         .max_frame_size(Some(MAX_FRAME_BYTES))
 }
