A newcomer reads the list of members and leaves the rest to their watcher

To a process of under 3 s a listed member counts as in contact until it had time to be. Heartbeats of a newcomer without documents go every 100 ms.

--- a/src/state/members.rs
+++ b/src/state/members.rs
@@ -9,6 +9,9 @@
 use crate::state::hash;
 use crate::state::time::Tick;
 
+/// Time since the start of the process in which members that are listed, but had no time to be in contact, count as
+/// in contact.
+pub(crate) const NEWCOMER_TIME: Duration = Duration::from_secs(3);
 /// Members of a failure domain that keep trying to watch the platform when none of them can.
 const MAX_FALLBACK_WATCHERS: usize = 2;
 
@@ -140,13 +143,16 @@
     ///
     /// The watcher is the member with the most CPU, ties broken by rendezvous hashing, among those that
     /// had contact within `timeout` and can watch; `can_watch` says whether `me` can. If no member can,
-    /// the `MAX_FALLBACK_WATCHERS` highest-ranked ones keep trying.
+    /// the `MAX_FALLBACK_WATCHERS` highest-ranked ones keep trying. To a process that has just started a listed member
+    /// counts as in contact until `timeout` after it was first seen, so that not all that start together watch.
     pub fn is_watcher(&self, me: &Member, can_watch: bool, timeout: Duration, now: Tick) -> bool {
         let own = me.watch_rank();
+        let is_newcomer = now < Tick::default() + NEWCOMER_TIME;
         let in_contact = |s: &&MemberRecord| {
+            let last = s.last_contact.or((is_newcomer && s.listed).then_some(s.first_seen));
             s.member.domain == me.domain
                 && s.member.id.name() != me.id.name()
-                && s.last_contact.is_some_and(|at| now.since(at) < timeout)
+                && last.is_some_and(|at| now.since(at) < timeout)
         };
         let others = || self.0.values().filter(in_contact);
         let higher_ranked = || others().filter(|s| s.member.watch_rank() > own);
--- a/src/transport/peers/heartbeats.rs
+++ b/src/transport/peers/heartbeats.rs
@@ -17,6 +17,8 @@
 
 /// Mean interval between two rounds of heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
+/// Mean interval between two rounds while this instance has just started and waits for documents.
+const NEWCOMER_INTERVAL: Duration = Duration::from_millis(100);
 /// Rounds between two heartbeats to other failure domains, as links between domains are costly.
 const REMOTE_HEARTBEAT_ROUNDS: u64 = 5;
 /// Rounds between two searches for links that are no longer used.
@@ -43,8 +45,8 @@
         }
         round += 1;
         let jitter = rand::rng().random_range(0.9..1.1);
-        tokio::time::sleep(HEARTBEAT_INTERVAL.mul_f64(jitter).saturating_sub(started.elapsed()))
-            .await;
+        let interval = if peers.awaits_docs() { NEWCOMER_INTERVAL } else { HEARTBEAT_INTERVAL };
+        tokio::time::sleep(interval.mul_f64(jitter).saturating_sub(started.elapsed())).await;
     }
 }
 
--- a/src/transport/peers/mod.rs
+++ b/src/transport/peers/mod.rs
@@ -19,7 +19,7 @@
 use crate::coordination::shares::Role;
 use crate::protocol::peer::{Heartbeat, Hello, PROTOCOL_VERSION};
 use crate::state::docs::{ApplyOutcome, Doc, DocDelta, DocStore};
-use crate::state::members::{Member, Members};
+use crate::state::members::{Member, Members, NEWCOMER_TIME};
 use crate::state::time::Tick;
 use crate::transport::clock::Clock;
 use crate::transport::faults::Faults;
@@ -139,6 +139,16 @@
         !self.docs.lock().versions().is_empty()
     }
 
+    /// Returns whether this instance has just started and has received at most the list of members.
+    pub(crate) fn awaits_docs(&self) -> bool {
+        self.now() < Tick::default() + NEWCOMER_TIME && self.docs.lock().versions().len() <= 1
+    }
+
+    /// Returns whether this instance has received a list of the members.
+    pub fn has_member_list(&self) -> bool {
+        self.has_member_list.load(Ordering::Relaxed)
+    }
+
     /// Returns whether this instance can watch the platform; `true` until it is set otherwise.
     pub fn can_watch(&self) -> bool {
         self.can_watch.load(Ordering::Relaxed)
--- a/tests/news.rs
+++ b/tests/news.rs
@@ -135,6 +135,84 @@
     },
 ];
 
+struct NewcomerCase {
+    name: &'static str,
+    /// Members on the list, which is received 50 ms after the start.
+    listed: &'static [&'static str],
+    /// Members in contact, whether they can watch, and the time of contact in milliseconds.
+    contacts: &'static [(&'static str, bool, u64)],
+    /// Time since the start of the process, in milliseconds.
+    now: u64,
+    /// Whether `a`, the lowest in rank, watches.
+    watches: bool,
+}
+
+const NEWCOMERS: &[NewcomerCase] = &[
+    NewcomerCase { name: "alone", listed: &["a"], contacts: &[], now: 60, watches: true },
+    NewcomerCase {
+        name: "others are listed and had no time to be in contact",
+        listed: &["a", "b", "c"],
+        contacts: &[],
+        now: 60,
+        watches: false,
+    },
+    NewcomerCase {
+        name: "a listed one is in contact and cannot watch, another is not in contact yet",
+        listed: &["a", "b", "c"],
+        contacts: &[("b", false, 400)],
+        now: 410,
+        watches: false,
+    },
+    NewcomerCase {
+        name: "those listed are not in contact in time",
+        listed: &["a", "b", "c"],
+        contacts: &[],
+        now: 1_060,
+        watches: true,
+    },
+    NewcomerCase {
+        name: "only members of another domain are listed",
+        listed: &["a", "far"],
+        contacts: &[],
+        now: 60,
+        watches: true,
+    },
+];
+
+#[test]
+fn a_newcomer_leaves_watching_to_listed_members() {
+    for case in NEWCOMERS {
+        let domain = |name: &str| if name == "far" { "other" } else { "d" };
+        // the rank follows the power
+        let member = |name: &str| Member {
+            power: name.bytes().map(u32::from).sum(),
+            ..member(name, domain(name))
+        };
+        let mut members = Members::default();
+        let list: Vec<Member> = case.listed.iter().map(|name| member(name)).collect();
+        members.apply_list(&list, ms(50), CONTACT_TIMEOUT);
+        for (name, can_watch, at) in case.contacts {
+            members.record_contact(&member(name), *can_watch, ms(*at));
+        }
+        let watches = members.is_watcher(&member("a"), true, CONTACT_TIMEOUT, ms(case.now));
+        assert_eq!(watches, case.watches, "{}", case.name);
+    }
+}
+
+/// A member that is listed later may not be up: the one that watches goes on until it is in contact.
+#[test]
+fn a_watcher_goes_on_until_a_higher_ranked_one_is_in_contact() {
+    let member = |name: &str, power| Member { power, ..member(name, "d") };
+    let mut members = Members::default();
+    members.apply_list(&[member("a", 1)], ms(50), CONTACT_TIMEOUT);
+    members.apply_list(&[member("a", 1), member("b", 2)], ms(60_000), CONTACT_TIMEOUT);
+    let watches =
+        |members: &Members| members.is_watcher(&member("a", 1), true, CONTACT_TIMEOUT, ms(60_100));
+    assert!(watches(&members));
+    members.record_contact(&member("b", 2), true, ms(60_050));
+    assert!(!watches(&members));
+}
+
 #[test]
 fn one_member_of_a_domain_watches_the_platform() {
     let names = ["a", "b", "c"];
