An answer is overdue by the time since its request was dispatched

Cause: hedges were timed from the decision. Change: the delay counts from the dispatch; a request that is not dispatched after twice the delay is hedged. Four cases in tests/scatter.rs, of which those that differ were red before.

--- a/src/coordination/scatter.rs
+++ b/src/coordination/scatter.rs
@@ -10,6 +10,9 @@
 use crate::state::arena::{PoolKey, ServerKey};
 use crate::state::time::Tick;
 
+/// Multiple of the hedge delay after which a request that is not dispatched yet is hedged; its connection is being opened,
+/// or this process is short of CPU.
+const UNDISPATCHED_DELAY_FACTOR: u32 = 2;
 /// Delay before a send that the retry budget did not allow is tried again.
 const BUDGET_RETRY_DELAY: Duration = Duration::from_millis(15);
 
@@ -23,6 +26,8 @@
     fn try_acquire_extra(&mut self, pool: PoolKey, now: Tick) -> bool;
     /// Returns the time after which a server's answer is overdue and the request is hedged.
     fn hedge_delay(&mut self, server: ServerKey) -> Duration;
+    /// Returns when the last send to a shard was written to its connection; `None` if it was not yet.
+    fn dispatched_at(&self, shard: usize) -> Option<Tick>;
     /// Records that a server's answer is overdue.
     fn record_overdue(&mut self, server: ServerKey, now: Tick);
 }
@@ -106,6 +111,7 @@
     tried: Vec<ServerKey>,
     attempt_count: usize,
     in_flight: u32,
+    chosen_at: Tick,
     hedge_at: Option<Tick>,
     awaited: Option<ServerKey>,
     state: ShardState,
@@ -132,6 +138,7 @@
             tried: Vec::new(),
             attempt_count: 0,
             in_flight: 0,
+            chosen_at: now,
             hedge_at: None,
             awaited: None,
             state: ShardState::Open,
@@ -176,6 +183,7 @@
         shard.attempt_count += 1;
         shard.in_flight += 1;
         shard.awaited = Some(server);
+        shard.chosen_at = now;
         let can_hedge = self.opts.idempotent && shard.attempt_count < self.opts.max_attempts;
         shard.hedge_at = can_hedge.then(|| now + context.hedge_delay(server));
         Some(ShardSend { shard: index, server })
@@ -223,6 +231,9 @@
     }
 
     /// Hedges the shards whose answers are overdue.
+    ///
+    /// An answer is overdue by the time since the request was dispatched: a process that sends to hundreds of shards
+    /// with a part of one core dispatches the last long after the decision, and must not take that for slow servers.
     pub fn hedge_overdue(
         &mut self,
         context: &mut impl ScatterContext,
@@ -235,8 +246,18 @@
             if shard.state != ShardState::Open || !is_due {
                 continue;
             }
-            if let Some(overdue) = shard.awaited.take() {
-                context.record_overdue(overdue, now);
+            if let Some(awaited) = shard.awaited {
+                let delay = context.hedge_delay(awaited);
+                let due_at = match context.dispatched_at(index) {
+                    Some(at) => at + delay,
+                    None => shard.chosen_at + delay * UNDISPATCHED_DELAY_FACTOR,
+                };
+                if now < due_at {
+                    shard.hedge_at = Some(due_at);
+                    continue;
+                }
+                shard.awaited = None;
+                context.record_overdue(awaited, now);
             }
             sends.extend(self.send(index, context, now));
         }
--- a/src/transport/upstreams/context.rs
+++ b/src/transport/upstreams/context.rs
@@ -1,5 +1,6 @@
 //! The context of a scatter: selects servers, spends the retry budget and provides answer times.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -11,6 +12,7 @@
 use crate::state::arena::{PoolKey, RouteKey, ServerKey};
 use crate::state::time::Tick;
 use crate::state::topology::{Server, TopologyView};
+use crate::transport::upstreams::send::DispatchTimes;
 use crate::transport::upstreams::tier::{RouteStats, ServerState, Tier};
 
 /// Assumed round-trip time to a server in another failure domain, until one is measured.
@@ -71,6 +73,7 @@
     pub(crate) tier: &'a Tier,
     pub(crate) view: &'a TopologyView,
     pub(crate) times: AnswerTimes,
+    pub(crate) dispatch_times: Arc<DispatchTimes>,
     /// Whether the request is sharded.
     pub(crate) is_sharded: bool,
 }
@@ -157,6 +160,10 @@
         allowed
     }
 
+    fn dispatched_at(&self, shard: usize) -> Option<Tick> {
+        self.dispatch_times.get(shard)
+    }
+
     fn record_overdue(&mut self, key: ServerKey, now: Tick) {
         if let Some(server) = self.view.server(key) {
             self.tier.with_domain(&server.report.domain, |d| d.record_overdue(now));
--- a/src/transport/upstreams/run.rs
+++ b/src/transport/upstreams/run.rs
@@ -11,7 +11,7 @@
 use crate::state::arena::{RouteKey, ServerKey};
 use crate::state::topology::TopologyView;
 use crate::transport::upstreams::context::{AnswerTimes, TierContext, retry_budget_options};
-use crate::transport::upstreams::send::{Answer, ScatterRequest, SendOutcome, send};
+use crate::transport::upstreams::send::{Answer, DispatchTimes, ScatterRequest, SendOutcome, send};
 use crate::transport::upstreams::tier::{RouteStats, Tier};
 
 /// Time for which sends whose answers are no longer needed may complete, so that their connections can
@@ -81,9 +81,16 @@
         outgoing,
         idempotent: opts.idempotent,
         times,
+        dispatch_times: Arc::new(DispatchTimes::new(opts.shards.len())),
         hard_deadline: opts.hard_deadline,
     };
-    let context = TierContext { tier, view, times, is_sharded: opts.shards.len() > 1 };
+    let context = TierContext {
+        tier,
+        view,
+        times,
+        dispatch_times: request.dispatch_times.clone(),
+        is_sharded: opts.shards.len() > 1,
+    };
     let driver = Driver {
         tier,
         context,
@@ -137,6 +144,7 @@
 
     fn spawn_sends(&self, sends: impl IntoIterator<Item = ShardSend>, in_flight: &mut Sends) {
         for ShardSend { shard, server } in sends {
+            self.request.dispatch_times.clear(shard);
             let (tier, request) = (self.tier.clone(), self.request.clone());
             in_flight
                 .spawn(async move { ((shard, server), send(tier, request, shard, server).await) });
--- a/src/transport/upstreams/send.rs
+++ b/src/transport/upstreams/send.rs
@@ -1,6 +1,7 @@
 //! Sends a request to one server: checks out a connection, then exchanges request and answer.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -30,12 +31,36 @@
 /// Minimum time left before the hard deadline for a request to be sent.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(1);
 
+/// When the last send to each shard was written to its connection.
+#[derive(Debug)]
+pub(crate) struct DispatchTimes(Vec<AtomicU64>);
+
+impl DispatchTimes {
+    pub(crate) fn new(shards: usize) -> Self {
+        Self((0..shards).map(|_| AtomicU64::new(0)).collect())
+    }
+
+    pub(crate) fn clear(&self, shard: usize) {
+        self.0[shard].store(0, Ordering::Relaxed);
+    }
+
+    fn record(&self, shard: usize, at: Tick) {
+        self.0[shard].store(at.0, Ordering::Relaxed);
+    }
+
+    /// Returns the time of the last dispatch; `None` if the last send was not dispatched yet.
+    pub(crate) fn get(&self, shard: usize) -> Option<Tick> {
+        Some(Tick(self.0[shard].load(Ordering::Relaxed))).filter(|at| *at != Tick::default())
+    }
+}
+
 /// A request as shared by all its sends.
 pub(crate) struct ScatterRequest {
     pub(crate) id: String,
     pub(crate) outgoing: OutgoingRequest,
     pub(crate) idempotent: bool,
     pub(crate) times: AnswerTimes,
+    pub(crate) dispatch_times: Arc<DispatchTimes>,
     pub(crate) hard_deadline: Tick,
 }
 
@@ -228,6 +253,7 @@
         };
         let req = self.build_request(&server.report.id, time_left);
         let dispatched = attempt.dispatch();
+        self.request.dispatch_times.record(self.shard, sent_at);
         let answer = async {
             let res = conn.sender.try_send_request(req).await;
             let res = res.map_err(|mut e| e.take_message().is_some())?;
--- a/tests/scatter.rs
+++ b/tests/scatter.rs
@@ -25,11 +25,12 @@
     spent: u32,
     requests: IndexMap<PoolKey, u32>,
     servers: u32,
+    dispatched_at: Option<Tick>,
 }
 
 impl Model {
     fn new(budget: u32, servers: u32) -> Self {
-        Self { budget, spent: 0, requests: IndexMap::new(), servers }
+        Self { budget, spent: 0, requests: IndexMap::new(), servers, dispatched_at: Some(ms(0)) }
     }
 }
 
@@ -53,6 +54,10 @@
         OVERDUE
     }
 
+    fn dispatched_at(&self, _: usize) -> Option<Tick> {
+        self.dispatched_at
+    }
+
     fn record_overdue(&mut self, _: ServerKey, _: Tick) {}
 }
 
@@ -80,6 +85,8 @@
     shards: u32,
     budget: u32,
     change: fn(&mut ScatterOptions),
+    /// When the first sends are dispatched, in milliseconds.
+    dispatched: Option<u64>,
     events: &'static [(u64, Event)],
     /// Number of sends to each shard.
     sends: &'static [usize],
@@ -95,6 +102,7 @@
     shards: 4,
     budget: 9,
     change: |_| {},
+    dispatched: Some(0),
     events: &[],
     sends: &[1, 1, 1, 1],
     verdict: Decision::Wait,
@@ -149,6 +157,32 @@
         sends: &[1, 2, 2, 2],
         ..BASE
     },
+    Case {
+        name: "an answer is overdue by the time since the dispatch",
+        dispatched: Some(15),
+        events: &[(20, Event::Tick), (34, Event::Tick)],
+        ..BASE
+    },
+    Case {
+        name: "a request that was dispatched late is hedged when its answer is overdue",
+        dispatched: Some(15),
+        events: &[(20, Event::Tick), (35, Event::Tick)],
+        sends: &[2, 2, 2, 2],
+        ..BASE
+    },
+    Case {
+        name: "a request that is not dispatched yet is given more time",
+        dispatched: None,
+        events: &[(20, Event::Tick), (39, Event::Tick)],
+        ..BASE
+    },
+    Case {
+        name: "a request that is not dispatched for long is hedged",
+        dispatched: None,
+        events: &[(20, Event::Tick), (40, Event::Tick)],
+        sends: &[2, 2, 2, 2],
+        ..BASE
+    },
     Case {
         name: "hedges end with the budget",
         budget: 1,
@@ -250,7 +284,7 @@
 ];
 
 fn play(case: &Case) -> (Scatter, Vec<ShardSend>, u64) {
-    let mut model = Model::new(case.budget, 2);
+    let mut model = Model { dispatched_at: case.dispatched.map(ms), ..Model::new(case.budget, 2) };
     let mut opts = options(case.shards);
     (case.change)(&mut opts);
     let (mut scatter, mut sends) = Scatter::start(opts, &mut model, ms(0));
