Gatherers warm their connections a few at a time, and a server with one is preferred

Idle connections close between the few requests of a gatherer, and the choice of a server did not see whether one is open. The cost of a server without an idle connection is one round trip and half a usual answer more. A connection that could not be opened is logged with its server.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -24,3 +24,4 @@
 pub(crate) mod snapshot;
 pub(crate) mod tickets;
 pub(crate) mod top_records;
+pub(crate) mod warming;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
     Accepted, Change, Checked, Draft, Head, MAX_CONFIG_BYTES, is_newer,
 };
 pub use coordination::top_records::top_records;
+pub use coordination::warming::Warming;
 pub use protocol::caller::{
     Coverage, MissingShard, Part, QueryAnswer, Refusal, RequestAnswer, RequestOptions,
 };
@@ -97,3 +98,4 @@
 pub use transport::store::memory::MemoryPlatform;
 pub use transport::upstreams::probe::run as run_probes;
 pub use transport::upstreams::tier::{Tier, TierOptions};
+pub use transport::upstreams::warm::run as run_warming;
--- a/src/transport/upstreams/connection_pool.rs
+++ b/src/transport/upstreams/connection_pool.rs
@@ -111,6 +111,17 @@
         Checkout::MayOpen(Permit(self.open_count.clone()))
     }
 
+    /// Returns whether an idle connection can be used.
+    pub(crate) fn has_idle(&mut self, now: Tick) -> bool {
+        self.idle.retain(|c| c.is_usable(now));
+        !self.idle.is_empty()
+    }
+
+    /// Returns whether any connection is open, idle or in use, or is being opened.
+    pub(crate) fn is_open(&mut self, now: Tick) -> bool {
+        self.has_idle(now) || self.open_count.count.load(Ordering::Relaxed) > 0
+    }
+
     /// Returns a connection to the pool for reuse.
     pub(crate) fn check_in(&mut self, mut conn: Connection, now: Tick) {
         conn.reused = true;
--- a/src/transport/upstreams/context.rs
+++ b/src/transport/upstreams/context.rs
@@ -15,6 +15,9 @@
 use crate::transport::upstreams::send::DispatchTimes;
 use crate::transport::upstreams::tier::{RouteStats, ServerState, Tier};
 
+/// Cost of opening a connection in addition to its round trip, in usual answer times: both ends work for it, and the server
+/// may give it a slot.
+const CONNECT_COST: f64 = 0.5;
 /// Assumed round-trip time to a server in another failure domain, until one is measured.
 const CROSS_DOMAIN_ROUND_TRIP: Duration = Duration::from_millis(10);
 /// Cost of sending to another failure domain, in addition to the round-trip time.
@@ -78,7 +81,25 @@
     pub(crate) is_sharded: bool,
 }
 
-impl TierContext<'_> {
+impl<'a> TierContext<'a> {
+    /// Builds the context of no request, to choose servers of a sharded route.
+    pub(crate) fn unsent(tier: &'a Tier, view: &'a TopologyView, route: RouteKey) -> Self {
+        let times = AnswerTimes::estimate(tier, route, Duration::ZERO, 0.0);
+        let dispatch_times = Arc::new(DispatchTimes::new(0));
+        Self { tier, view, times, dispatch_times, is_sharded: true }
+    }
+
+    /// Returns the servers of a pool that are not in `avoid`.
+    pub(crate) fn candidates(
+        &self,
+        pool: PoolKey,
+        avoid: &[ServerKey],
+        now: Tick,
+    ) -> Vec<Candidate> {
+        let servers = self.view.available_servers(pool).filter(|(key, _)| !avoid.contains(key));
+        servers.map(|(key, server)| self.candidate(key, server, now)).collect()
+    }
+
     /// Returns the measured round-trip time to a server, or an assumed one.
     fn round_trip(&self, state: &ServerState, server: &Server) -> Duration {
         let is_remote = server.report.domain != self.tier.opts.domain;
@@ -96,6 +117,12 @@
                 let rate = self.cold_rate(limits.cold_rate);
                 state.stats.cold.can_send(rate, self.tier.instances(), now)
             };
+            let round_trip = self.round_trip(state, server);
+            let connect = if state.connections.has_idle(now) {
+                Duration::ZERO
+            } else {
+                round_trip + self.times.usual.mul_f64(CONNECT_COST)
+            };
             Candidate {
                 key,
                 expected: state.stats.expected_latency(
@@ -104,7 +131,8 @@
                     cold,
                     now,
                 ),
-                round_trip: self.round_trip(state, server)
+                round_trip: round_trip
+                    + connect
                     + if is_remote { CROSS_DOMAIN_COST } else { Duration::ZERO },
                 has_capacity: is_admitted && !state.stats.is_draining(),
                 is_healthy: is_responsive && state.stats.outlier.can_send(true, now),
@@ -121,12 +149,7 @@
 
 impl ScatterContext for TierContext<'_> {
     fn pick_server(&mut self, pool: PoolKey, avoid: &[ServerKey], now: Tick) -> Option<ServerKey> {
-        let candidates: Vec<Candidate> = self
-            .view
-            .available_servers(pool)
-            .filter(|(key, _)| !avoid.contains(key))
-            .map(|(key, server)| self.candidate(key, server, now))
-            .collect();
+        let candidates = self.candidates(pool, avoid, now);
         let key = pick_server(&candidates, !avoid.is_empty(), || rand::rng().random())?;
         let server = self.view.server(key)?;
         self.tier.with_domain(&server.report.domain, |d| d.record_send());
--- a/src/transport/upstreams/mod.rs
+++ b/src/transport/upstreams/mod.rs
@@ -7,3 +7,4 @@
 pub(crate) mod run;
 pub(crate) mod send;
 pub(crate) mod tier;
+pub(crate) mod warm;
--- a/src/transport/upstreams/run.rs
+++ b/src/transport/upstreams/run.rs
@@ -74,6 +74,9 @@
     job: Job,
 ) -> Result<Gathered, GivenUp> {
     let Job { id, route, target_latency, outgoing, opts } = job;
+    if opts.shards.len() > 1 {
+        tier.with_warming(|w| w.record_gather(tier.now()));
+    }
     let ratio = opts.shards.first().map(|pool| retry_budget_options(tier, view, *pool).ratio);
     let times = AnswerTimes::estimate(tier, route, target_latency, ratio.unwrap_or_default());
     let request = ScatterRequest {
--- a/src/transport/upstreams/send.rs
+++ b/src/transport/upstreams/send.rs
@@ -125,6 +125,50 @@
     }
 }
 
+impl Tier {
+    /// Records whether a connection to a server could be opened.
+    pub(crate) fn record_connect(
+        &self,
+        key: ServerKey,
+        result: anyhow::Result<Connection>,
+        cold_duration: Duration,
+        started_at: Tick,
+    ) -> Result<Connection, NotRunCode> {
+        let now = self.now();
+        let label = if result.is_ok() { "opened" } else { "refused" };
+        self.metrics.connections.with_label_values(&[label]).inc();
+        match result {
+            Ok(conn) => {
+                self.servers.with(key, |s| {
+                    s.connections.record_connect(now.since(started_at));
+                    s.stats.record_connect(cold_duration, now);
+                });
+                Ok(conn)
+            }
+            Err(e) => {
+                let view = self.view();
+                let server = view.server(key);
+                let id = server.map_or("?", |s| s.report.id.as_str());
+                log::debug!(server = id; "connection to a server could not be opened: {e:#}");
+                self.servers.with(key, |s| {
+                    s.stats.record_connect_refused();
+                    s.stats.record_failure(now);
+                });
+                if let Some(server) = server {
+                    self.with_domain(&server.report.domain, |d| {
+                        if e.is::<Elapsed>() {
+                            d.record_unanswered(now);
+                        } else {
+                            d.record_refused(now);
+                        }
+                    });
+                }
+                Err(NotRunCode::NotConnected)
+            }
+        }
+    }
+}
+
 /// Sends a request to a server of a shard.
 pub(crate) async fn send(
     tier: Arc<Tier>,
@@ -194,45 +238,12 @@
                 }
                 Checkout::MayOpen(permit) => {
                     let result = Connection::open(server.report.addr, permit, now).await;
-                    return self.record_connect(result, limits.cold_duration, now);
+                    return self.tier.record_connect(self.key, result, limits.cold_duration, now);
                 }
             }
         }
     }
 
-    fn record_connect(
-        &self,
-        result: anyhow::Result<Connection>,
-        cold_duration: Duration,
-        started_at: Tick,
-    ) -> Result<Connection, NotRunCode> {
-        let now = self.tier.now();
-        let label = if result.is_ok() { "opened" } else { "refused" };
-        self.tier.metrics.connections.with_label_values(&[label]).inc();
-        match result {
-            Ok(conn) => {
-                self.update_server(|s| {
-                    s.connections.record_connect(now.since(started_at));
-                    s.stats.record_connect(cold_duration, now);
-                });
-                Ok(conn)
-            }
-            Err(e) => {
-                log::debug!("connection to a server could not be opened: {e:#}");
-                self.update_server(|s| {
-                    s.stats.record_connect_refused();
-                    s.stats.record_failure(now);
-                });
-                if e.is::<Elapsed>() {
-                    self.record_unanswered(now);
-                } else {
-                    self.update_domain(|d| d.record_refused(now));
-                }
-                Err(NotRunCode::NotConnected)
-            }
-        }
-    }
-
     /// Sends the request on a connection; returns the attempt if nothing of it was written.
     async fn exchange(
         &self,
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -17,6 +17,7 @@
 use crate::coordination::server_stats::ServerStats;
 use crate::coordination::shares::{self, Role};
 use crate::coordination::sliding_window::SlidingWindow;
+use crate::coordination::warming::Warming;
 use crate::protocol::codec::ServerCodec;
 use crate::state::arena::{PoolKey, RouteKey, ServerKey};
 use crate::state::name_interner::NameInterner;
@@ -130,6 +131,7 @@
     role: Mutex<Role>,
     sharded_requests: Mutex<SlidingWindow>,
     pub(crate) lag: Mutex<Lag>,
+    warming: Mutex<Warming>,
 }
 
 impl Tier {
@@ -155,6 +157,7 @@
             role: Mutex::default(),
             sharded_requests: Mutex::new(SlidingWindow::new(RECENT_WINDOW)),
             lag: Mutex::default(),
+            warming: Mutex::default(),
         }
     }
 
@@ -263,6 +266,11 @@
         f64::from(self.sharded_requests.lock().count(self.now())) / RECENT_WINDOW.as_secs_f64()
     }
 
+    /// Runs `update` on the warming of connections.
+    pub(crate) fn with_warming<R>(&self, update: impl FnOnce(&mut Warming) -> R) -> R {
+        update(&mut self.warming.lock())
+    }
+
     /// Marks this instance as leaving.
     pub(crate) fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
