A heavy request goes to the first gatherer of a domain, to others while that one is busy

Nothing kept a burst from a gatherer that worked for a tenth of a second already. Change: where a request takes most of what an instance can gather at a time, gatherers are used in order; one that has as many shards in flight as its processor allows refuses (busy) before it sends anything, the next is tried, and the sender uses one more for 5 s (coordination/gatherers.rs). Light requests are spread as before.

--- a/src/coordination/gatherers.rs
+++ b/src/coordination/gatherers.rs
@@ -14,6 +14,7 @@
 use crate::state::arena::PoolKey;
 use crate::state::hash;
 use crate::state::members::Member;
+use crate::state::time::Tick;
 use crate::state::topology::{Server, TopologyView};
 
 /// Minimum share of the shards with servers in a failure domain for the domain to count as near.
@@ -27,6 +28,10 @@
 /// Minimum processor power of a gatherer, relative to the largest member of its domain.
 const MIN_POWER_RATIO: f64 = 0.5;
 
+/// Shards that an instance gathers at the same time, for each thousandth of a core; it is busy with them for about a tenth
+/// of a second.
+const SHARDS_PER_MILLICORE: f64 = 1.5;
+
 /// The inputs that decide where a request is gathered.
 #[derive(Clone, Copy, Debug)]
 pub struct GatherContext<'a> {
@@ -53,6 +58,8 @@
     Leaving,
     /// It can reach too few shards.
     Cut,
+    /// It gathers as much as its processor allows.
+    Busy,
     /// The request is invalid or does not match its routes.
     Unfit,
 }
@@ -61,7 +68,7 @@
     /// Returns how long the gatherer is excluded from selection.
     pub fn exclusion_time(self) -> Duration {
         match self {
-            GatherRefusal::Version | GatherRefusal::Unfit => Duration::ZERO,
+            GatherRefusal::Version | GatherRefusal::Unfit | GatherRefusal::Busy => Duration::ZERO,
             GatherRefusal::Late | GatherRefusal::Leaving | GatherRefusal::Cut => EXCLUSION_TIME,
         }
     }
@@ -92,7 +99,53 @@
     held
 }
 
-/// Returns the members that may gather a request, or none if this instance gathers it itself.
+/// Returns whether an instance takes on another request; one at a time is always taken.
+///
+/// The load pattern: a burst meets a gatherer whose processor already works for a tenth of a second on what it has. A
+/// request that would wait there is refused at once, and gathered by the next.
+pub fn can_take(power: u32, shards_in_flight: usize, shard_count: usize) -> bool {
+    let limit = f64::from(power) * SHARDS_PER_MILLICORE;
+    power == 0 || shards_in_flight == 0 || (shards_in_flight + shard_count) as f64 <= limit
+}
+
+/// Returns whether a request takes most of what an instance can gather at a time, so that two gatherers with few requests
+/// are worse than one with warm connections.
+pub fn is_heavy(power: u32, shard_count: usize) -> bool {
+    power > 0 && 2.0 * shard_count as f64 > f64::from(power) * SHARDS_PER_MILLICORE
+}
+
+/// Time without a refusal after which one gatherer less is used.
+const NARROW_INTERVAL: Duration = Duration::from_secs(5);
+
+/// The number of gatherers that this instance uses, in order of preference.
+///
+/// The load pattern: a few heavy requests a second. Spread over all gatherers they meet cold connections on each; sent to
+/// the first they meet warm ones, and a second is used only while the first is busy.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Spread {
+    extra: usize,
+    changed_at: Tick,
+}
+
+impl Spread {
+    /// Returns the number of gatherers to use.
+    pub fn width(&mut self, now: Tick) -> usize {
+        while self.extra > 0 && now.since(self.changed_at) >= NARROW_INTERVAL {
+            self.extra -= 1;
+            self.changed_at = self.changed_at + NARROW_INTERVAL;
+        }
+        1 + self.extra
+    }
+
+    /// Records that a gatherer was busy; `max` is the number of gatherers.
+    pub fn record_busy(&mut self, max: usize, now: Tick) {
+        self.extra = (self.extra + 1).min(max.saturating_sub(1));
+        self.changed_at = now;
+    }
+}
+
+/// Returns the members that may gather a request, in order of preference, or none if this instance gathers it itself. It may
+/// be among them.
 ///
 /// `held` is the number of shards in each failure domain.
 pub fn select_gatherers<'a>(
@@ -109,7 +162,8 @@
         let local = domain_gatherers(members, own);
         let is_gatherer = local.iter().any(|m| m.id.name() == context.me.id.name());
         let is_warm = context.request_rate >= WARM_RATE_PER_S && is_large(context.me, members);
-        return if is_gatherer || is_warm { Vec::new() } else { local };
+        let is_light = !is_heavy(context.me.power, context.shard_count);
+        return if (is_gatherer && is_light) || is_warm { Vec::new() } else { local };
     }
     let most = held.values().max().copied().unwrap_or_default();
     let best = held.iter().filter(|(domain, shards)| **shards == most && is_near(domain));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,7 +16,8 @@
 };
 pub use coordination::domain_health::DomainHealth;
 pub use coordination::gatherers::{
-    GatherContext, GatherRefusal, role, select_gatherers, shards_by_domain,
+    GatherContext, GatherRefusal, Spread, can_take, is_heavy, role, select_gatherers,
+    shards_by_domain,
 };
 pub use coordination::lag::{Lag, SAMPLE_INTERVAL as LAG_SAMPLE_INTERVAL};
 pub use coordination::latency_histogram::LatencyHistogram;
--- a/src/transport/callers/forward.rs
+++ b/src/transport/callers/forward.rs
@@ -1,5 +1,6 @@
 //! Sharded requests that are forwarded to a gatherer, and those gathered for peers.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use hyper::header::HeaderValue;
 
 use crate::coordination::gatherers::{
-    GatherContext, GatherRefusal, select_gatherers, shards_by_domain,
+    GatherContext, GatherRefusal, can_take, is_heavy, select_gatherers, shards_by_domain,
 };
 use crate::coordination::scatter::ScatterOptions;
 use crate::protocol::codec::{CallerCodec, DeclineReason};
@@ -22,12 +23,37 @@
 use crate::transport::peers::gather::{GatherFailure, GatherHandler, Gatherer};
 use crate::transport::upstreams::run::{GivenUp, Job, run};
 
+/// Maximum number of busy gatherers that a request is offered to; this instance then gathers it.
+const MAX_BUSY_GATHERERS: usize = 2;
+
 impl<C: CallerCodec> Proxy<C> {
+    /// Forwards a request to a gatherer; returns `None` if this instance gathers it itself.
+    pub(crate) async fn try_forward(
+        &self,
+        gathering: &ScatterGather,
+        route: &Route,
+        job: &Job,
+        view: &TopologyView,
+    ) -> Option<Result<FullResponse, DeclineReason>> {
+        let mut refused = Vec::new();
+        while refused.len() < MAX_BUSY_GATHERERS
+            && let Some(gatherer) = self.select_gatherer(gathering, view, &refused)
+        {
+            match self.forward(&gatherer, route, job, view).await {
+                Ok(result) => return Some(result),
+                Err(GatherRefusal::Busy) => refused.push(gatherer.addr()),
+                Err(_) => break,
+            }
+        }
+        None
+    }
+
     /// Selects the gatherer for a request; none if this instance gathers it itself.
-    pub(crate) fn select_gatherer(
+    fn select_gatherer(
         &self,
         gathering: &ScatterGather,
         view: &TopologyView,
+        refused: &[SocketAddr],
     ) -> Option<Gatherer> {
         let (peers, unresponsive) = (self.peers.as_ref()?, self.tier.unresponsive_domains());
         let held =
@@ -35,17 +61,32 @@
         let (me, request_rate) = (&peers.opts.me, self.tier.sharded_request_rate());
         let members = peers.members();
         let context = GatherContext { me, request_rate, shard_count: gathering.shards.len() };
-        peers.pick_gatherer(&select_gatherers(context, &held, &members))
+        let mut gatherers = select_gatherers(context, &held, &members);
+        let first = *gatherers.first()?;
+        if !can_take(me.power, self.tier.shards_in_flight(), context.shard_count) {
+            gatherers.retain(|m| m.addr != me.addr);
+        }
+        let width = if is_heavy(first.power, context.shard_count) {
+            let (now, mut spread) = (self.tier.now(), self.tier.spread.lock());
+            if !refused.is_empty() {
+                spread.record_busy(gatherers.len(), now);
+            }
+            spread.width(now)
+        } else {
+            gatherers.len()
+        };
+        peers.pick_gatherer(&gatherers, width, refused)
     }
 
-    /// Forwards a request; returns `None` if the gatherer refused it and no server got it.
-    pub(crate) async fn forward(
+    /// Forwards a request to a gatherer, unless it refuses and no server gets it.
+    async fn forward(
         &self,
         gatherer: &Gatherer,
         route: &Route,
         job: &Job,
-        version: u64,
-    ) -> Option<Result<FullResponse, DeclineReason>> {
+        view: &TopologyView,
+    ) -> Result<Result<FullResponse, DeclineReason>, GatherRefusal> {
+        let version = view.route_table.as_ref().map_or(0, |table| table.version);
         let now = self.tier.now();
         // the gatherer takes the way there off itself, by the time of sending
         let way_back = gatherer.round_trip() / 2;
@@ -58,19 +99,19 @@
         };
         let route_version = (self.tier.names.route_name(route.key), version);
         let request = GatherRequest::new(&job.id, route_version, &job.outgoing, times);
-        let failed = Some(Err(DeclineReason::Failed));
+        let failed = Ok(Err(DeclineReason::Failed));
         let (outcome, missing, result) = match gatherer.forward(request).await {
             Ok(GatherResult::Answer { body, signatures, missing }) => {
-                ("answered", missing, Some(self.forwarded_response(body, &signatures, missing)))
+                ("answered", missing, Ok(self.forwarded_response(body, &signatures, missing)))
             }
             Ok(GatherResult::NotTaken(refusal)) => {
                 let (request, gatherer) = (job.id.as_str(), gatherer.name());
                 log::info!(request, gatherer, why:? = refusal; "gatherer refused the request");
-                ("not_taken", 0, None)
+                ("not_taken", 0, Err(refusal))
             }
-            Ok(GatherResult::NotRun) => ("not_run", 0, Some(Err(decline_reason(false, false)))),
+            Ok(GatherResult::NotRun) => ("not_run", 0, Ok(Err(decline_reason(false, false)))),
             Ok(GatherResult::GivenUp { late }) => {
-                ("given_up", 0, Some(Err(decline_reason(true, late))))
+                ("given_up", 0, Ok(Err(decline_reason(true, late))))
             }
             Err(GatherFailure::Broken) => ("broken", 0, failed),
             Err(GatherFailure::Silent) => ("silent", 0, failed),
@@ -121,6 +162,10 @@
         if self.tier.must_refuse(route) {
             return Err(GatherRefusal::Cut);
         }
+        let power = self.peers.as_ref().map_or(0, |peers| peers.opts.me.power);
+        if !can_take(power, self.tier.shards_in_flight(), gathering.shards.len()) {
+            return Err(GatherRefusal::Busy);
+        }
         let now = self.tier.now();
         let out = request.to_outgoing().map_err(|e| {
             log::warn!(request = request.id.as_str(); "invalid request from a peer: {e:#}");
--- a/src/transport/callers/proxy.rs
+++ b/src/transport/callers/proxy.rs
@@ -112,9 +112,7 @@
         };
         if let Target::Gather(gathering) = &route.target {
             self.tier.record_sharded_request(arrival.arrived_at);
-            if let Some(gatherer) = self.select_gatherer(gathering, &view)
-                && let Some(result) = self.forward(&gatherer, route, &job, table.version).await
-            {
+            if let Some(result) = self.try_forward(gathering, route, &job, &view).await {
                 return result;
             }
         }
--- a/src/transport/peers/gather.rs
+++ b/src/transport/peers/gather.rs
@@ -122,19 +122,30 @@
         }
     }
 
-    /// Picks a random member of `members` with an open link that is not excluded.
-    pub(crate) fn pick_gatherer(self: &Arc<Self>, members: &[&Member]) -> Option<Gatherer> {
+    /// Picks a random member among the first `width` of `members` that are not excluded or in `refused` and have an open
+    /// link; `None` if that is this instance.
+    pub(crate) fn pick_gatherer(
+        self: &Arc<Self>,
+        members: &[&Member],
+        width: usize,
+        refused: &[SocketAddr],
+    ) -> Option<Gatherer> {
         let now = self.now();
         let usable_link = |m: &&Member| {
-            let is_usable =
-                self.gatherers.record_use(m.addr, now) && !self.faults.is_peer_cut(m.addr);
+            if m.addr == self.opts.me.addr {
+                return Some(None);
+            }
+            let is_usable = self.gatherers.record_use(m.addr, now)
+                && !self.faults.is_peer_cut(m.addr)
+                && !refused.contains(&m.addr);
             let link = is_usable.then(|| self.links.get_open(m.addr)).flatten()?;
-            Some(Gatherer { peers: self.clone(), link, member: (*m).clone() })
+            Some(Some(Gatherer { peers: self.clone(), link, member: (*m).clone() }))
         };
-        let mut usable: Vec<Gatherer> = members.iter().filter_map(usable_link).collect();
+        let mut usable: Vec<Option<Gatherer>> = members.iter().filter_map(usable_link).collect();
+        usable.truncate(width);
         let indices: Vec<usize> = (0..usable.len()).collect();
         let index = indices.choose(&mut rand::rng())?;
-        Some(usable.swap_remove(*index))
+        usable.swap_remove(*index)
     }
 
     /// Gathers a request from a peer; refuses it if it was sent too long ago.
@@ -154,6 +165,11 @@
         self.member.id.name()
     }
 
+    /// Returns the address of its peer listener.
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.member.addr
+    }
+
     /// Returns the gatherer's current time, as this instance estimates it.
     pub(crate) fn time(&self) -> Tick {
         self.link.peer_time()
--- a/src/transport/upstreams/run.rs
+++ b/src/transport/upstreams/run.rs
@@ -74,9 +74,11 @@
     job: Job,
 ) -> Result<Gathered, GivenUp> {
     let Job { id, route, target_latency, outgoing, opts } = job;
-    if opts.shards.len() > 1 {
+    let is_sharded = opts.shards.len() > 1;
+    if is_sharded {
         tier.with_warming(|w| w.record_gather(tier.now()));
     }
+    let _in_flight = is_sharded.then(|| tier.track_shards(opts.shards.len()));
     let ratio = opts.shards.first().map(|pool| retry_budget_options(tier, view, *pool).ratio);
     let times = AnswerTimes::estimate(tier, route, target_latency, ratio.unwrap_or_default());
     let request = ScatterRequest {
@@ -92,7 +94,7 @@
         view,
         times,
         dispatch_times: request.dispatch_times.clone(),
-        is_sharded: opts.shards.len() > 1,
+        is_sharded,
     };
     let driver = Driver {
         tier,
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -8,6 +8,7 @@
 use parking_lot::{Mutex, RwLock};
 
 use crate::coordination::domain_health::DomainHealth;
+use crate::coordination::gatherers::Spread;
 use crate::coordination::lag::Lag;
 use crate::coordination::latency_histogram::LatencyHistogram;
 use crate::coordination::lifecycle::StopOptions;
@@ -80,6 +81,15 @@
     }
 }
 
+/// Counts the shards of a gathered request as in flight until dropped.
+pub(crate) struct ShardsGuard(Arc<Tier>, usize);
+
+impl Drop for ShardsGuard {
+    fn drop(&mut self) {
+        self.0.shards_in_flight.fetch_sub(self.1, Ordering::Relaxed);
+    }
+}
+
 /// The statistics and connections of a server.
 #[derive(Default)]
 pub(crate) struct ServerState {
@@ -132,6 +142,8 @@
     sharded_requests: Mutex<SlidingWindow>,
     pub(crate) lag: Mutex<Lag>,
     warming: Mutex<Warming>,
+    pub(crate) spread: Mutex<Spread>,
+    shards_in_flight: AtomicUsize,
 }
 
 impl Tier {
@@ -158,6 +170,8 @@
             sharded_requests: Mutex::new(SlidingWindow::new(RECENT_WINDOW)),
             lag: Mutex::default(),
             warming: Mutex::default(),
+            spread: Mutex::default(),
+            shards_in_flight: AtomicUsize::new(0),
         }
     }
 
@@ -251,6 +265,17 @@
         GatherGuard(self.clone())
     }
 
+    /// Counts the shards of a gathered request as in flight until the guard is dropped.
+    pub(crate) fn track_shards(self: &Arc<Self>, count: usize) -> ShardsGuard {
+        self.shards_in_flight.fetch_add(count, Ordering::Relaxed);
+        ShardsGuard(self.clone(), count)
+    }
+
+    /// Returns the number of shards of the requests that this instance gathers.
+    pub(crate) fn shards_in_flight(&self) -> usize {
+        self.shards_in_flight.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of requests in flight that are gathered for peers.
     pub(crate) fn gathers_in_flight(&self) -> usize {
         self.gathers_in_flight.load(Ordering::Relaxed)
--- a/tests/gatherers.rs
+++ b/tests/gatherers.rs
@@ -8,7 +8,7 @@
 use support::ms;
 use tamarackdeck::{
     GatherContext, GatherRefusal, GatherRequest, GatherTimes, InstanceId, Member, OutgoingRequest,
-    Role, connection_share, role, select_gatherers,
+    Role, Spread, can_take, connection_share, is_heavy, role, select_gatherers,
 };
 
 fn member((name, domain, power): &(&str, &str, u32)) -> Member {
@@ -92,6 +92,114 @@
     }
 }
 
+#[test]
+fn heavy_requests_go_to_the_first_gatherer_of_a_domain() {
+    let names: Vec<String> = (0..6).map(|n| format!("i{n}")).collect();
+    let members: Vec<Member> = names.iter().map(|n| member(&(n, "d", 120))).collect();
+    let held: IndexMap<&str, usize> = [("d", 180)].into_iter().collect();
+    let chosen = |me, rate| -> Vec<String> {
+        let context = GatherContext { me, request_rate: rate, shard_count: 180 };
+        let chosen = select_gatherers(context, &held, &members);
+        chosen.iter().map(|m| m.id.name().to_owned()).collect()
+    };
+    let order = chosen(&members[0], 0.2);
+    assert_eq!(order.len(), 3);
+    for me in &members {
+        assert_eq!(chosen(me, 0.2), order, "all prefer the same one, the gatherers too");
+        assert!(chosen(me, 10.0).is_empty(), "an instance with warm connections gathers itself");
+    }
+}
+
+struct LoadCase {
+    name: &'static str,
+    power: u32,
+    shards_in_flight: usize,
+    shard_count: usize,
+    taken: bool,
+    heavy: bool,
+}
+
+const LOADS: &[LoadCase] = &[
+    LoadCase {
+        name: "the first request of a small instance",
+        power: 120,
+        shards_in_flight: 0,
+        shard_count: 270,
+        taken: true,
+        heavy: true,
+    },
+    LoadCase {
+        name: "a second one over many shards",
+        power: 120,
+        shards_in_flight: 180,
+        shard_count: 180,
+        taken: false,
+        heavy: true,
+    },
+    LoadCase {
+        name: "a second one over few shards",
+        power: 120,
+        shards_in_flight: 20,
+        shard_count: 20,
+        taken: true,
+        heavy: false,
+    },
+    LoadCase {
+        name: "a fourth one on a large instance",
+        power: 500,
+        shards_in_flight: 540,
+        shard_count: 180,
+        taken: true,
+        heavy: false,
+    },
+    LoadCase {
+        name: "unknown power",
+        power: 0,
+        shards_in_flight: 9_000,
+        shard_count: 180,
+        taken: true,
+        heavy: false,
+    },
+];
+
+#[test]
+fn a_gatherer_takes_what_its_processor_allows() {
+    for case in LOADS {
+        let taken = can_take(case.power, case.shards_in_flight, case.shard_count);
+        assert_eq!(taken, case.taken, "{}", case.name);
+        assert_eq!(is_heavy(case.power, case.shard_count), case.heavy, "{}", case.name);
+    }
+}
+
+struct SpreadCase {
+    name: &'static str,
+    /// Times at which a gatherer was busy, in milliseconds.
+    busy: &'static [u64],
+    now: u64,
+    width: usize,
+}
+
+const SPREADS: &[SpreadCase] = &[
+    SpreadCase { name: "none was busy", busy: &[], now: 0, width: 1 },
+    SpreadCase { name: "one was busy", busy: &[100], now: 200, width: 2 },
+    SpreadCase { name: "no more than there are", busy: &[1, 2, 3, 4], now: 5, width: 3 },
+    SpreadCase { name: "one less after a while", busy: &[1, 2], now: 5_002, width: 2 },
+    SpreadCase { name: "only the first in the end", busy: &[1, 2], now: 60_000, width: 1 },
+    SpreadCase { name: "busy again after long", busy: &[1, 2, 60_000], now: 60_001, width: 2 },
+];
+
+#[test]
+fn more_gatherers_are_used_while_the_first_are_busy() {
+    for case in SPREADS {
+        let mut spread = Spread::default();
+        for at in case.busy {
+            spread.width(ms(*at));
+            spread.record_busy(3, ms(*at));
+        }
+        assert_eq!(spread.width(ms(case.now)), case.width, "{}", case.name);
+    }
+}
+
 #[test]
 fn a_busy_instance_of_usual_size_gathers_itself() {
     let names: Vec<String> = (0..16).map(|n| format!("i{n}")).collect();
@@ -167,6 +275,7 @@
 const REFUSALS: &[RefusalCase] = &[
     RefusalCase { why: GatherRefusal::Version, excluded: false, invalidates_clock: false },
     RefusalCase { why: GatherRefusal::Unfit, excluded: false, invalidates_clock: false },
+    RefusalCase { why: GatherRefusal::Busy, excluded: false, invalidates_clock: false },
     RefusalCase { why: GatherRefusal::Leaving, excluded: true, invalidates_clock: false },
     RefusalCase { why: GatherRefusal::Cut, excluded: true, invalidates_clock: false },
     RefusalCase { why: GatherRefusal::Late, excluded: true, invalidates_clock: true },
