A reply that can no longer be an answer is dropped at once, and all replies share a bound

Cause: a reply was read up to 8 MiB, whatever the request, and each of hundreds of shards at once; a head up to the library's 400 KB.

--- a/src/coordination/attempt.rs
+++ b/src/coordination/attempt.rs
@@ -55,6 +55,8 @@
     Truncated,
     /// The answer belongs to another request, attempt, shard or snapshot.
     Mismatch,
+    /// The answer exceeds the size that an answer may have.
+    TooLarge,
     /// The upstream answered with an error.
     Upstream,
     /// An earlier request with the same idempotency key has no known outcome yet.
@@ -240,6 +242,7 @@
             Fault::Timeout => "timeout",
             Fault::Truncated => "truncated",
             Fault::Mismatch => "mismatch",
+            Fault::TooLarge => "too-large",
             Fault::Upstream => "upstream",
             Fault::Unsettled => "unsettled",
         }
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -3,13 +3,15 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Body;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
+use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::CONTENT_TYPE;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -24,6 +26,16 @@
 /// Maximum size of a reply that a client accepts, in bytes.
 const MAX_REPLY_BYTES: usize = 8 << 20;
 
+/// Size of the read buffer of a client's connection, which bounds the head of a reply, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// Returns the settings of connections to servers, which bound the memory that a reply takes before it is read.
+pub(crate) fn client_builder() -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_HEAD_BYTES);
+    builder
+}
+
 /// A response with a complete body.
 pub type FullResponse = Response<Full<Bytes>>;
 
@@ -166,7 +178,7 @@
         let open = async {
             let stream = TcpStream::connect(addr).await?;
             stream.set_nodelay(true)?;
-            anyhow::Ok(hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?)
+            anyhow::Ok(client_builder().handshake(TokioIo::new(stream)).await?)
         };
         let opened = tokio::time::timeout(timeout, open).await.context("timed out").flatten();
         let (send, conn) = opened.with_context(|| format!("cannot connect to {addr}"))?;
@@ -181,7 +193,11 @@
     /// # Errors
     /// When no complete reply arrives within `timeout`.
     pub async fn send(mut self, req: Request<Full<Bytes>>, timeout: Duration) -> Result<Reply> {
-        let exchange = async { read_reply(self.send.send_request(req).await?).await };
+        let buffers = ReplyBuffers::new(MAX_REPLY_BYTES);
+        let exchange = async {
+            let res = self.send.send_request(req).await?;
+            anyhow::Ok(read_reply(res, MAX_REPLY_BYTES, &buffers).await?)
+        };
         tokio::time::timeout(timeout, exchange).await.context("no answer in time")?
     }
 }
@@ -190,14 +206,67 @@
     Client::open(addr, timeout).await?.send(req, timeout).await
 }
 
-/// Reads the complete reply to a request.
-pub(crate) async fn read_reply(res: Response<Incoming>) -> Result<Reply> {
-    let (parts, body) = res.into_parts();
-    let body = Limited::new(body, MAX_REPLY_BYTES)
-        .collect()
-        .await
-        .map_err(|e| anyhow::anyhow!("body: {e}"))?;
-    Ok(Reply { status: parts.status.as_u16(), headers: parts.headers, body: body.to_bytes() })
+/// Why a reply could not be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum ReplyError {
+    #[error("the body is larger than allowed")]
+    TooLarge,
+    #[error("the connection broke off")]
+    Broken,
+}
+
+/// Bytes of incomplete replies, which all replies of a process share.
+#[derive(Debug)]
+pub(crate) struct ReplyBuffers {
+    max_bytes: usize,
+    held_bytes: AtomicUsize,
+}
+
+impl ReplyBuffers {
+    pub(crate) fn new(max_bytes: usize) -> Self {
+        Self { max_bytes, held_bytes: AtomicUsize::new(0) }
+    }
+}
+
+/// The bytes that one reply holds until it is complete or dropped.
+struct HeldBytes<'a>(&'a ReplyBuffers, usize);
+
+impl HeldBytes<'_> {
+    /// Adds bytes and returns whether all replies together stay within their limit.
+    fn add(&mut self, bytes: usize) -> bool {
+        self.1 += bytes;
+        self.0.held_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes <= self.0.max_bytes
+    }
+}
+
+impl Drop for HeldBytes<'_> {
+    fn drop(&mut self) {
+        self.0.held_bytes.fetch_sub(self.1, Ordering::Relaxed);
+    }
+}
+
+/// Reads the complete reply to a request; fails as soon as it is known to exceed `max_bytes`.
+pub(crate) async fn read_reply(
+    res: Response<Incoming>,
+    max_bytes: usize,
+    buffers: &ReplyBuffers,
+) -> Result<Reply, ReplyError> {
+    let (parts, mut incoming) = res.into_parts();
+    if incoming.size_hint().lower() > max_bytes as u64 {
+        return Err(ReplyError::TooLarge);
+    }
+    let mut held = HeldBytes(buffers, 0);
+    let mut frames: Vec<Bytes> = Vec::new();
+    while let Some(frame) = incoming.frame().await {
+        let Ok(data) = frame.map_err(|_| ReplyError::Broken)?.into_data() else { continue };
+        if !held.add(data.len()) || held.1 > max_bytes {
+            return Err(ReplyError::TooLarge);
+        }
+        frames.push(data);
+    }
+    let body =
+        if frames.len() > 1 { frames.concat().into() } else { frames.pop().unwrap_or_default() };
+    Ok(Reply { status: parts.status.as_u16(), headers: parts.headers, body })
 }
 
 /// A task that is aborted when this handle is dropped.
--- a/src/transport/upstreams/connection_pool.rs
+++ b/src/transport/upstreams/connection_pool.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 use crate::state::time::Tick;
-use crate::transport::http::AbortOnDrop;
+use crate::transport::http::{AbortOnDrop, client_builder};
 
 /// Timeout of opening a connection: several round trips between failure domains, but shorter than the
 /// retransmission timeout of a SYN.
@@ -164,7 +164,7 @@
         let open = async {
             let stream = TcpStream::connect(addr).await?;
             set_socket_options(&stream)?;
-            anyhow::Ok(handshake(TokioIo::new(stream)).await?)
+            anyhow::Ok(client_builder().handshake(TokioIo::new(stream)).await?)
         };
         let (sender, conn) = timeout(CONNECT_TIMEOUT, open).await??;
         let task = tokio::spawn(async move {
--- a/src/transport/upstreams/send.rs
+++ b/src/transport/upstreams/send.rs
@@ -16,7 +16,7 @@
 use crate::protocol::codec::OutgoingRequest;
 use crate::state::arena::ServerKey;
 use crate::state::time::Tick;
-use crate::transport::http;
+use crate::transport::http::{self, ReplyError};
 use crate::transport::upstreams::connection_pool::{Checkout, Connection};
 use crate::transport::upstreams::context::AnswerTimes;
 use crate::transport::upstreams::tier::{ServerState, Tier};
@@ -64,6 +64,12 @@
     pub(crate) hard_deadline: Tick,
 }
 
+impl ScatterRequest {
+    fn is_sharded(&self) -> bool {
+        self.dispatch_times.0.len() > 1
+    }
+}
+
 /// A complete answer of a server.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -109,6 +115,14 @@
     }
 }
 
+/// Why a request that was handed to a connection has no answer.
+enum Unanswered {
+    /// Nothing of it was written.
+    Unsent,
+    /// It may have run.
+    Failed(Fault),
+}
+
 /// Counts a request as in flight to a server until dropped.
 struct InFlightGuard<'a>(&'a Tier, ServerKey, Tick);
 
@@ -267,22 +281,34 @@
         self.request.dispatch_times.record(self.shard, sent_at);
         let answer = async {
             let res = conn.sender.try_send_request(req).await;
-            let res = res.map_err(|mut e| e.take_message().is_some())?;
+            let res = res.map_err(|mut e| match e.take_message() {
+                Some(_) => Unanswered::Unsent,
+                None if e.error().is_parse_too_large() => Unanswered::Failed(Fault::TooLarge),
+                None => Unanswered::Failed(Fault::Lost),
+            })?;
             let (parts, body) = res.into_parts();
             let head = self.tier.codec.parse_response_head(&parts);
             let res = hyper::Response::from_parts(parts, body);
-            Ok((http::read_reply(res).await.map_err(|_| false)?, head))
+            let reply = http::read_reply(res, self.max_bytes(), &self.tier.reply_buffers).await;
+            let reply = reply.map_err(|e| match e {
+                ReplyError::TooLarge => Unanswered::Failed(Fault::TooLarge),
+                ReplyError::Broken => Unanswered::Failed(Fault::Lost),
+            })?;
+            Ok((reply, head))
         };
         match timeout(self.answer_timeout(time_left), answer).await {
             Err(_) => {
                 self.update_server(|s| s.connections.close_idle());
                 Ok(self.record_failure(dispatched.fail(Fault::Timeout)).on_connection(&conn))
             }
-            Ok(Err(true)) => Err(dispatched.into_pending()),
-            Ok(Err(false)) => {
+            Ok(Err(Unanswered::Unsent)) => Err(dispatched.into_pending()),
+            Ok(Err(Unanswered::Failed(Fault::TooLarge))) => {
+                Ok(self.record_failure(dispatched.fail(Fault::TooLarge)))
+            }
+            Ok(Err(Unanswered::Failed(fault))) => {
                 let now = self.tier.now();
                 self.update_server(|s| s.connections.record_closed(!conn.reused, now));
-                Ok(self.record_failure(dispatched.fail(Fault::Lost)).on_connection(&conn))
+                Ok(self.record_failure(dispatched.fail(fault)).on_connection(&conn))
             }
             Ok(Ok((reply, head))) => {
                 let took = self.tier.now().since(sent_at);
@@ -300,6 +326,12 @@
         }
     }
 
+    /// Returns the maximum size of an answer, in bytes.
+    fn max_bytes(&self) -> usize {
+        let opts = &self.tier.opts;
+        if self.request.is_sharded() { opts.max_part_bytes } else { opts.max_answer_bytes }
+    }
+
     /// Returns how long to wait for an answer before the connection counts as unresponsive.
     fn answer_timeout(&self, time_left: Duration) -> Duration {
         if self.request.idempotent {
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -27,6 +27,7 @@
 use crate::state::time::Tick;
 use crate::state::topology::{Server, ServerReport, Topology, TopologyView};
 use crate::transport::clock::Clock;
+use crate::transport::http::ReplyBuffers;
 use crate::transport::metrics::Metrics;
 use crate::transport::upstreams::connection_pool::ConnectionPool;
 
@@ -46,6 +47,12 @@
     pub initial_instances: usize,
     /// One-way network delay between a caller and this instance.
     pub caller_delay: Duration,
+    /// Maximum size of a server's answer to a sharded request, in bytes.
+    pub max_part_bytes: usize,
+    /// Maximum size of a server's answer to any other request, in bytes.
+    pub max_answer_bytes: usize,
+    /// Maximum size of all answers together that are being received, in bytes.
+    pub max_buffered_bytes: usize,
     /// Durations of a planned stop.
     pub stop: StopOptions,
 }
@@ -58,6 +65,9 @@
             cold_rate: (1.0, 0.0),
             initial_instances: 16, // current fleets have 8 or 9 instances, with 4 more to come
             caller_delay: Duration::from_millis(8),
+            max_part_bytes: 8 << 20,
+            max_answer_bytes: 8 << 20,
+            max_buffered_bytes: 32 << 20, // a fifth of the memory of the smallest instances
             stop: StopOptions::default(),
         }
     }
@@ -130,6 +140,7 @@
     pub(crate) route_stats: ShardedMap<RouteKey, RouteStats>,
     pub(crate) retry_budgets: ShardedMap<PoolKey, RetryBudget>,
     pub(crate) metrics: Metrics,
+    pub(crate) reply_buffers: ReplyBuffers,
     domains: Mutex<IndexMap<String, DomainHealth>>,
     topology: Mutex<Topology>,
     view: RwLock<Arc<TopologyView>>,
@@ -151,6 +162,7 @@
     pub fn new(opts: TierOptions, codec: impl ServerCodec) -> Self {
         Self {
             instances: AtomicUsize::new(opts.initial_instances),
+            reply_buffers: ReplyBuffers::new(opts.max_buffered_bytes),
             opts,
             names: NameInterner::default(),
             clock: Clock::default(),
