--- a/src/state/members.rs
+++ b/src/state/members.rs
@@ -134,6 +134,11 @@
         self.0.len()
     }
 
+    /// Returns whether there was contact with any member.
+    pub fn has_contact(&self) -> bool {
+        self.0.values().any(|s| s.last_contact.is_some())
+    }
+
     /// Returns whether no member is known.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
--- a/src/transport/peers/heartbeats.rs
+++ b/src/transport/peers/heartbeats.rs
@@ -17,7 +17,7 @@
 
 /// Mean interval between two rounds of heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
-/// Mean interval between two rounds while this instance has just started and waits for documents.
+/// Mean interval between two rounds while this instance has just started and had no contact.
 const NEWCOMER_INTERVAL: Duration = Duration::from_millis(100);
 /// Rounds between two heartbeats to other failure domains, as links between domains are costly.
 const REMOTE_HEARTBEAT_ROUNDS: u64 = 5;
@@ -45,7 +45,7 @@
         }
         round += 1;
         let jitter = rand::rng().random_range(0.9..1.1);
-        let interval = if peers.awaits_docs() { NEWCOMER_INTERVAL } else { HEARTBEAT_INTERVAL };
+        let interval = if peers.awaits_contact() { NEWCOMER_INTERVAL } else { HEARTBEAT_INTERVAL };
         tokio::time::sleep(interval.mul_f64(jitter).saturating_sub(started.elapsed())).await;
     }
 }
--- a/src/transport/peers/mod.rs
+++ b/src/transport/peers/mod.rs
@@ -139,9 +139,9 @@
         !self.docs.lock().versions().is_empty()
     }
 
-    /// Returns whether this instance has just started and has received at most the list of members.
-    pub(crate) fn awaits_docs(&self) -> bool {
-        self.now() < Tick::default() + NEWCOMER_TIME && self.docs.lock().versions().len() <= 1
+    /// Returns whether this instance has just started and had no contact with a member.
+    pub(crate) fn awaits_contact(&self) -> bool {
+        self.now() < Tick::default() + NEWCOMER_TIME && !self.members.lock().has_contact()
     }
 
     /// Returns whether this instance has received a list of the members.
