--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Body;
 use hyper::body::Incoming;
@@ -256,16 +256,21 @@
         return Err(ReplyError::TooLarge);
     }
     let mut held = HeldBytes(buffers, 0);
-    let mut frames: Vec<Bytes> = Vec::new();
+    // copied together, since a frame of a few bytes would keep a whole buffer
+    let (mut first, mut body) = (Bytes::new(), BytesMut::new());
     while let Some(frame) = incoming.frame().await {
         let Ok(data) = frame.map_err(|_| ReplyError::Broken)?.into_data() else { continue };
         if !held.add(data.len()) || held.1 > max_bytes {
             return Err(ReplyError::TooLarge);
         }
-        frames.push(data);
+        if held.1 == data.len() {
+            first = data;
+        } else {
+            body.extend_from_slice(&std::mem::take(&mut first));
+            body.extend_from_slice(&data);
+        }
     }
-    let body =
-        if frames.len() > 1 { frames.concat().into() } else { frames.pop().unwrap_or_default() };
+    let body = if body.is_empty() { first } else { body.freeze() };
     Ok(Reply { status: parts.status.as_u16(), headers: parts.headers, body })
 }
 
