A reply refuses or answers a request only once it is known to be that request's

Cause: evaluate_reply looked at the refusal before anything else, and only complete() compared the label; the head's load, boot ID and draining were recorded before both. A reply without a label counted as the request's own on any connection. Class: a message is believed before it is known whose it is.

Change: the attempt's life cycle has one more state. Attempt<Dispatched>::identify gives Attempt<Replied>, and only that one can be completed, refused by the upstream, or have its head recorded; so the order can't be reversed again. A reply without a label is the request's own only if no earlier request was answered on its connection. The connection goes back to the pool after the reply has been checked, no longer before; one whose reply was truncated or another's is closed. A line tells connection, requests answered on it, idle time, both labels and status apart. The stand-ins' refusals echo the label, as the platform's servers do.

--- a/src/coordination/attempt.rs
+++ b/src/coordination/attempt.rs
@@ -1,7 +1,9 @@
 //! One attempt to run a request on an upstream, as a typestate.
 //!
 //! Only a pending attempt, which no connection was given, can be refused locally as not run. After
-//! dispatch, only the upstream's explicit refusal proves that the request was not run.
+//! dispatch, only the upstream's explicit refusal proves that the request was not run, and only a
+//! reply that is identified as this attempt's can refuse or answer it: an upstream may answer an
+//! earlier request twice, and the second reply stands where this attempt's is expected.
 
 use std::fmt;
 
@@ -53,7 +55,7 @@
     Timeout,
     /// The length of the answer differs from the stated length.
     Truncated,
-    /// The answer belongs to another request, attempt, shard or snapshot.
+    /// The reply belongs to another request, attempt, shard or snapshot, or may belong to one.
     Mismatch,
     /// The answer exceeds the size that an answer may have.
     TooLarge,
@@ -117,11 +119,18 @@
     }
 }
 
-/// A decoded answer of an upstream that has not been checked yet.
+/// Whether a reply can belong to an earlier request on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionUse {
+    /// The request is the first one on its connection.
+    First,
+    /// The connection was used before.
+    Reused,
+}
+
+/// A decoded answer of an upstream whose length has not been checked yet.
 #[derive(Clone, Debug)]
 pub struct RawAnswer<A> {
-    /// The label that the upstream echoed, if any.
-    pub label: Option<String>,
     /// The length that the upstream stated in addition to its protocol's framing.
     pub stated_length: Option<usize>,
     /// The length of the received body.
@@ -153,6 +162,10 @@
 #[derive(Debug)]
 pub struct Dispatched(());
 
+/// State of an attempt that has received a reply of its own.
+#[derive(Debug)]
+pub struct Replied(());
+
 /// An attempt in life cycle state `S`.
 #[derive(Debug)]
 pub struct Attempt<S> {
@@ -178,12 +191,42 @@
 }
 
 impl Attempt<Dispatched> {
-    /// Ends the attempt with an answer, which must be complete and carry this attempt's label.
+    /// Identifies a reply as this attempt's by the label that it echoes.
+    ///
+    /// # Errors
+    /// [`Fault::Mismatch`] if the reply has another label, or none on a connection that was used before.
+    pub fn identify(
+        self,
+        echoed: Option<&str>,
+        connection: ConnectionUse,
+    ) -> Result<Attempt<Replied>, Fault> {
+        let is_own = match echoed {
+            Some(label) => label == self.label,
+            None => connection == ConnectionUse::First,
+        };
+        if !is_own {
+            return Err(Fault::Mismatch);
+        }
+        Ok(Attempt { label: self.label, state: Replied(()) })
+    }
+
+    /// Makes the attempt pending again after the connection returned it with nothing written.
+    pub fn into_pending(self) -> Attempt<Pending> {
+        Attempt { label: self.label, state: Pending(()) }
+    }
+
+    /// Ends the attempt with an unknown outcome.
+    pub fn fail<A>(self, fault: Fault) -> Outcome<A> {
+        let Dispatched(()) = self.state;
+        Outcome::Unknown(fault)
+    }
+}
+
+impl Attempt<Replied> {
+    /// Ends the attempt with an answer, which must be complete.
     pub fn complete<A>(self, raw: RawAnswer<A>) -> Outcome<A> {
         if raw.stated_length.is_some_and(|stated| stated != raw.received_length) {
             Outcome::Unknown(Fault::Truncated)
-        } else if raw.label.is_some_and(|label| label != self.label) {
-            Outcome::Unknown(Fault::Mismatch)
         } else {
             Outcome::Answer(raw.answer)
         }
@@ -191,6 +234,7 @@
 
     /// Ends the attempt as not run, by the upstream's explicit refusal.
     pub fn refused_by_upstream<A>(self, refusal: UpstreamRefusal) -> Outcome<A> {
+        let Replied(()) = self.state;
         let (why, held) = match refusal {
             UpstreamRefusal::Shed => (NotRunCode::Shed, None),
             UpstreamRefusal::Draining => (NotRunCode::Leaving, None),
@@ -200,17 +244,6 @@
         };
         Outcome::NotRun(NotRun { why, held })
     }
-
-    /// Makes the attempt pending again after the connection returned it with nothing written.
-    pub fn into_pending(self) -> Attempt<Pending> {
-        Attempt { label: self.label, state: Pending(()) }
-    }
-
-    /// Ends the attempt with an unknown outcome.
-    pub fn fail<A>(self, fault: Fault) -> Outcome<A> {
-        let Dispatched(()) = self.state;
-        Outcome::Unknown(fault)
-    }
 }
 
 impl NotRunCode {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,8 +11,8 @@
 mod transport;
 
 pub use coordination::attempt::{
-    Attempt, Dispatched, Fault, Label, NotRun, NotRunCode, Outcome, Pending, RawAnswer,
-    UpstreamRefusal,
+    Attempt, ConnectionUse, Dispatched, Fault, Label, NotRun, NotRunCode, Outcome, Pending,
+    RawAnswer, Replied, UpstreamRefusal,
 };
 pub use coordination::domain_health::DomainHealth;
 pub use coordination::gatherers::{
--- a/src/protocol/upstream.rs
+++ b/src/protocol/upstream.rs
@@ -15,7 +15,7 @@
 pub const RUN_URI: &str = "/v1/run";
 /// Request URI that reports the snapshots an upstream holds; it takes no slot there.
 pub const STATUS_URI: &str = "/v1/status";
-/// Label of the attempt: request, attempt, snapshot and shard; the upstream echoes it.
+/// Label of the attempt: request, attempt, snapshot and shard; the upstream echoes it in every response.
 pub const LABEL: HeaderName = HeaderName::from_static("x-label");
 /// Snapshot from which a query is answered.
 pub const SNAPSHOT: HeaderName = HeaderName::from_static("x-snapshot");
--- a/src/transport/upstreams/connection_pool.rs
+++ b/src/transport/upstreams/connection_pool.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use crate::coordination::attempt::ConnectionUse;
 use crate::state::time::Tick;
 use crate::transport::http::{AbortOnDrop, client_builder};
 
@@ -32,6 +33,9 @@
 /// Time for which no additional connection is opened to a server that closed a new one.
 const OPEN_BACKOFF: Duration = Duration::from_millis(500);
 
+/// The number of the next connection.
+static NEXT_NUMBER: AtomicU64 = AtomicU64::new(1);
+
 /// A permit to hold one connection, returned when dropped.
 #[derive(Debug)]
 pub(crate) struct Permit(Arc<OpenCount>);
@@ -53,9 +57,15 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// Whether it waited in the pool, where it may have broken.
     pub(crate) reused: bool,
     pub(crate) idle_limit: Option<Duration>,
-    last_used: Tick,
+    /// Number of the connection in this process, for logs.
+    pub(crate) number: u64,
+    /// Number of requests that were answered on it.
+    pub(crate) answered: u32,
+    /// When it was opened or last answered a request.
+    pub(crate) last_used: Tick,
     _permit: Permit,
     _task: AbortOnDrop,
 }
@@ -150,6 +160,11 @@
 }
 
 impl Connection {
+    /// Returns whether a reply on it may belong to an earlier request.
+    pub(crate) fn usage(&self) -> ConnectionUse {
+        if self.answered == 0 { ConnectionUse::First } else { ConnectionUse::Reused }
+    }
+
     fn is_usable(&self, now: Tick) -> bool {
         let limit = self.idle_limit.map(|l| l.saturating_sub(IDLE_MARGIN));
         !self.sender.is_closed() && limit.is_none_or(|l| now.since(self.last_used) < l)
@@ -172,8 +187,16 @@
                 log::debug!("connection to {addr} failed: {e}");
             }
         });
-        let (_permit, _task) = (permit, AbortOnDrop(task));
-        Ok(Connection { sender, reused: false, idle_limit: None, last_used: now, _permit, _task })
+        Ok(Connection {
+            sender,
+            reused: false,
+            idle_limit: None,
+            number: NEXT_NUMBER.fetch_add(1, Ordering::Relaxed),
+            answered: 0,
+            last_used: now,
+            _permit: permit,
+            _task: AbortOnDrop(task),
+        })
     }
 }
 
--- a/src/transport/upstreams/outcome.rs
+++ b/src/transport/upstreams/outcome.rs
@@ -5,7 +5,7 @@
 use hyper::StatusCode;
 
 use crate::coordination::attempt::{
-    Attempt, Dispatched, Fault, NotRunCode, Outcome, RawAnswer, UpstreamRefusal,
+    Attempt, Fault, NotRunCode, Outcome, RawAnswer, Replied, UpstreamRefusal,
 };
 use crate::coordination::domain_health::DomainHealth;
 use crate::coordination::scatter::SendResult;
@@ -39,10 +39,10 @@
         SendOutcome::new(SendResult::Failed(fault))
     }
 
-    /// Determines the outcome of a completely received reply.
+    /// Determines the outcome of a completely received reply to this attempt.
     pub(crate) fn evaluate_reply(
         &self,
-        attempt: Attempt<Dispatched>,
+        attempt: Attempt<Replied>,
         reply: Reply,
         head: ResponseHead,
         took: Duration,
@@ -56,12 +56,7 @@
         let received_length = reply.body.len();
         let answer =
             Answer { status, headers: reply.headers, body: reply.body, signature: head.signature };
-        let raw = RawAnswer {
-            label: head.label,
-            stated_length: head.stated_length,
-            received_length,
-            answer,
-        };
+        let raw = RawAnswer { stated_length: head.stated_length, received_length, answer };
         match attempt.complete(raw) {
             Outcome::Answer(answer) if head.is_answer => {
                 let usual = self.request.times.usual;
@@ -103,7 +98,7 @@
     /// Records that the server refused the request and returns the outcome.
     fn record_refusal(
         &self,
-        attempt: Attempt<Dispatched>,
+        attempt: Attempt<Replied>,
         refusal: UpstreamRefusal,
         now: Tick,
     ) -> SendOutcome {
--- a/src/transport/upstreams/send.rs
+++ b/src/transport/upstreams/send.rs
@@ -11,12 +11,12 @@
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
-use crate::coordination::attempt::{Attempt, Fault, NotRunCode, Pending};
+use crate::coordination::attempt::{Attempt, Fault, NotRunCode, Outcome, Pending};
 use crate::coordination::scatter::SendResult;
-use crate::protocol::codec::OutgoingRequest;
+use crate::protocol::codec::{OutgoingRequest, ResponseHead};
 use crate::state::arena::ServerKey;
 use crate::state::time::Tick;
-use crate::transport::http::{self, ReplyError};
+use crate::transport::http::{self, Reply, ReplyError};
 use crate::transport::upstreams::connection_pool::{Checkout, Connection};
 use crate::transport::upstreams::context::AnswerTimes;
 use crate::transport::upstreams::tier::{ServerState, Tier};
@@ -311,21 +311,47 @@
                 Ok(self.record_failure(dispatched.fail(fault)).on_connection(&conn))
             }
             Ok(Ok((reply, head))) => {
-                let took = self.tier.now().since(sent_at);
+                let now = self.tier.now();
+                let attempt = match dispatched.identify(head.label.as_deref(), conn.usage()) {
+                    Ok(attempt) => attempt,
+                    Err(fault) => {
+                        self.log_foreign_reply(&reply, &head, &conn, sent_at);
+                        return Ok(self.record_failure(Outcome::Unknown(fault)));
+                    }
+                };
+                conn.answered += 1;
                 conn.idle_limit = head.idle_timeout.or(conn.idle_limit);
-                let label_matches = head
-                    .label
-                    .as_deref()
-                    .is_none_or(|l| l == self.request.outgoing.label(self.shard));
-                if label_matches {
-                    let now = self.tier.now();
+                let outcome = self.evaluate_reply(attempt, reply, head, now.since(sent_at));
+                if outcome.result != SendResult::Failed(Fault::Truncated) {
                     self.update_server(|s| s.connections.check_in(conn, now));
                 }
-                Ok(self.evaluate_reply(dispatched, reply, head, took))
+                Ok(outcome)
             }
         }
     }
 
+    /// Logs a reply that is not known to be this request's; its connection is closed.
+    fn log_foreign_reply(
+        &self,
+        reply: &Reply,
+        head: &ResponseHead,
+        conn: &Connection,
+        sent_at: Tick,
+    ) {
+        let (id, shard, status) = (self.request.id.as_str(), self.shard, reply.status);
+        let view = self.tier.view();
+        let server = view.server(self.key).map_or("?", |s| s.report.id.as_str());
+        let (connection, answered) = (conn.number, conn.answered);
+        let idle_ms = sent_at.since(conn.last_used).as_millis() as u64;
+        let expected = self.request.outgoing.label(self.shard);
+        let echoed = head.label.as_deref().unwrap_or_default();
+        let (refused, bytes) = (head.refusal.is_some(), reply.body.len());
+        log::info!(
+            request = id, shard, server, connection, answered, idle_ms, expected, echoed, status,
+            refused, bytes; "reply belongs to another request"
+        );
+    }
+
     /// Returns the maximum size of an answer, in bytes.
     fn max_bytes(&self) -> usize {
         let opts = &self.tier.opts;
--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -353,10 +353,24 @@
     }
 }
 
+/// Runs a request; refusals echo the label, as answers do.
 async fn run(
     state: Arc<Mutex<State>>,
     slots: Arc<Semaphore>,
     request: Request<Incoming>,
+) -> Answer {
+    let label = request.headers().get("x-label").cloned();
+    let mut answer = admit_and_run(state, slots, request).await?;
+    if let Some(label) = label {
+        answer.headers_mut().entry("x-label").or_insert(label);
+    }
+    Some(answer)
+}
+
+async fn admit_and_run(
+    state: Arc<Mutex<State>>,
+    slots: Arc<Semaphore>,
+    request: Request<Incoming>,
 ) -> Answer {
     let headers = request.headers().clone();
     let snapshot = header_text(&headers, "x-snapshot");
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -2,14 +2,22 @@
 
 use bytes::Bytes;
 use tamarackdeck::{
-    Attempt, Fault, Label, NotRunCode, Outcome, RawAnswer, Snapshot, SnapshotRange,
-    UpstreamRefusal, parse_label,
+    Attempt, ConnectionUse, Dispatched, Fault, Label, NotRunCode, Outcome, RawAnswer, Replied,
+    Snapshot, SnapshotRange, UpstreamRefusal, parse_label,
 };
 
 fn label() -> Label {
     Label { request: 1, attempt: 2, shard: "s".into(), snapshot: Some(Snapshot(3)) }
 }
 
+fn dispatched() -> Attempt<Dispatched> {
+    Attempt::new(label().to_string()).dispatch()
+}
+
+fn replied() -> Attempt<Replied> {
+    dispatched().identify(Some(&label().to_string()), ConnectionUse::Reused).unwrap()
+}
+
 struct AnswerCase {
     name: &'static str,
     change: fn(&mut Label, &mut usize),
@@ -61,17 +69,70 @@
         let (mut echoed, mut stated) = (label(), 4);
         (case.change)(&mut echoed, &mut stated);
         let raw = RawAnswer {
-            label: Some(echoed.to_string()),
             stated_length: Some(stated),
             received_length: 4,
             answer: Bytes::from("body"),
         };
-        let outcome = Attempt::new(label().to_string()).dispatch().complete(raw);
+        let echoed = echoed.to_string();
+        let outcome = match dispatched().identify(Some(&echoed), ConnectionUse::First) {
+            Ok(replied) => replied.complete(raw),
+            Err(fault) => Outcome::Unknown(fault),
+        };
         let want = case.fault.map_or(Outcome::Answer(Bytes::from("body")), Outcome::Unknown);
         assert_eq!(outcome, want, "{}", case.name);
     }
 }
 
+struct IdentityCase {
+    name: &'static str,
+    echoed: fn(String) -> Option<String>,
+    connection: ConnectionUse,
+    is_own: bool,
+}
+
+const IDENTITIES: &[IdentityCase] = &[
+    IdentityCase {
+        name: "its own label",
+        echoed: Some,
+        connection: ConnectionUse::Reused,
+        is_own: true,
+    },
+    IdentityCase {
+        name: "another label on a new connection",
+        echoed: |label| Some(label + "x"),
+        connection: ConnectionUse::First,
+        is_own: false,
+    },
+    IdentityCase {
+        name: "no label, on a new connection",
+        echoed: |_| None,
+        connection: ConnectionUse::First,
+        is_own: true,
+    },
+    IdentityCase {
+        name: "no label, where an earlier request's reply may come late",
+        echoed: |_| None,
+        connection: ConnectionUse::Reused,
+        is_own: false,
+    },
+    IdentityCase {
+        name: "an empty label",
+        echoed: |_| Some(String::new()),
+        connection: ConnectionUse::First,
+        is_own: false,
+    },
+];
+
+#[test]
+fn a_reply_that_may_be_another_requests_neither_answers_nor_refuses() {
+    for case in IDENTITIES {
+        let echoed = (case.echoed)(label().to_string());
+        let identified = dispatched().identify(echoed.as_deref(), case.connection);
+        let want = if case.is_own { None } else { Some(Fault::Mismatch) };
+        assert_eq!(identified.err(), want, "{}", case.name);
+    }
+}
+
 struct RefusalCase {
     refusal: UpstreamRefusal,
     code: NotRunCode,
@@ -94,9 +155,7 @@
 #[test]
 fn after_dispatch_only_the_upstream_can_refuse() {
     for case in REFUSALS {
-        let Outcome::<Bytes>::NotRun(refusal) =
-            Attempt::new(label().to_string()).dispatch().refused_by_upstream(case.refusal)
-        else {
+        let Outcome::<Bytes>::NotRun(refusal) = replied().refused_by_upstream(case.refusal) else {
             panic!("{:?} is no refusal", case.refusal);
         };
         assert_eq!(refusal.reason(), case.code);
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -7,8 +7,8 @@
 use rand::{RngExt, SeedableRng};
 use support::seeds;
 use tamarackdeck::{
-    Attempt, Claim, ClaimAction, Fault, Label, NotRunCode, Outcome, RawAnswer, Step, WriteOutcome,
-    settle_claim, step_after_create, step_after_read,
+    Attempt, Claim, ClaimAction, ConnectionUse, Fault, Label, NotRunCode, Outcome, RawAnswer, Step,
+    WriteOutcome, settle_claim, step_after_create, step_after_read,
 };
 
 fn claim(token: u64, digest: u64, answer: Option<&str>) -> Claim {
@@ -158,17 +158,17 @@
     /// Sends to an upstream that answers, refuses, or is lost before or after the run.
     fn send(&mut self) -> (Outcome, bool) {
         let attempt = Attempt::new(Label::default().to_string());
-        let raw = RawAnswer {
-            label: Some(Label::default().to_string()),
-            stated_length: Some(2),
-            received_length: 2,
-            answer: Bytes::from("ok"),
-        };
+        let raw =
+            RawAnswer { stated_length: Some(2), received_length: 2, answer: Bytes::from("ok") };
         match self.rng.random_range(0..4) {
             0 => (attempt.refuse(NotRunCode::NotConnected), false),
             1 => (attempt.dispatch().fail(Fault::Lost), false),
             2 => (attempt.dispatch().fail(Fault::Timeout), true),
-            _ => (attempt.dispatch().complete(raw), true),
+            _ => {
+                let label = Label::default().to_string();
+                let replied = attempt.dispatch().identify(Some(&label), ConnectionUse::Reused);
+                (replied.unwrap().complete(raw), true)
+            }
         }
     }
 }
