Requests to many shards are divided among the gatherers of a domain

Cause: one gatherer dispatches all sends of a request and reads all parts, one after the other: 180 shards at 75 us are 27 ms of half a core's time twice over, 110 ms of an eighth of a core; 270 are more. Class: work of one request serialised on one processor while others are idle.

Change: coordination/division.rs divides the shards into ranges of 30 at least, one for each gatherer of the domain, in an order on which all agree; a refused range goes to the next gatherer, after two refusals to the sender. The sender merges top records of ranges (exact), counts missing shards, and fails as soon as the ratio is out of reach.

--- a/src/coordination/gatherers.rs
+++ b/src/coordination/gatherers.rs
@@ -153,23 +153,35 @@
     held: &IndexMap<&str, usize>,
     members: &'a [Member],
 ) -> Vec<&'a Member> {
-    let is_near = |domain: &str| {
-        let shards = held.get(domain).copied().unwrap_or_default();
-        shards as f64 >= context.shard_count as f64 * MIN_NEAR_SHARE
-    };
     let own = context.me.domain.as_str();
-    if is_near(own) {
+    if is_near(context, held, own) {
         let local = domain_gatherers(members, own);
         let is_gatherer = local.iter().any(|m| m.id.name() == context.me.id.name());
-        let is_warm = context.request_rate >= WARM_RATE_PER_S && is_large(context.me, members);
         let is_light = !is_heavy(context.me.power, context.shard_count);
-        return if (is_gatherer && is_light) || is_warm { Vec::new() } else { local };
+        let gathers_itself = (is_gatherer && is_light) || is_warm(context, members);
+        return if gathers_itself { Vec::new() } else { local };
     }
     let most = held.values().max().copied().unwrap_or_default();
-    let best = held.iter().filter(|(domain, shards)| **shards == most && is_near(domain));
+    let best =
+        held.iter().filter(|(domain, shards)| **shards == most && is_near(context, held, domain));
     best.flat_map(|(domain, _)| domain_gatherers(members, domain)).collect()
 }
 
+/// Returns whether a failure domain holds enough shards for its gatherers to be near them.
+pub(crate) fn is_near(
+    context: GatherContext<'_>,
+    held: &IndexMap<&str, usize>,
+    domain: &str,
+) -> bool {
+    let shards = held.get(domain).copied().unwrap_or_default();
+    shards as f64 >= context.shard_count as f64 * MIN_NEAR_SHARE
+}
+
+/// Returns whether this instance's own requests keep its connections to all shards warm.
+pub(crate) fn is_warm(context: GatherContext<'_>, members: &[Member]) -> bool {
+    context.request_rate >= WARM_RATE_PER_S && is_large(context.me, members)
+}
+
 /// Returns the role of `me` for sharded requests.
 pub fn role(me: &Member, members: &[Member]) -> Role {
     let local = domain_gatherers(members, &me.domain);
@@ -183,7 +195,7 @@
 }
 
 /// Returns the gatherers of a failure domain, chosen from its large members by rendezvous hashing.
-fn domain_gatherers<'a>(members: &'a [Member], domain: &str) -> Vec<&'a Member> {
+pub(crate) fn domain_gatherers<'a>(members: &'a [Member], domain: &str) -> Vec<&'a Member> {
     let local = members.iter().filter(|m| m.domain == domain);
     let count = local.clone().count();
     let mut large: Vec<&Member> = local.filter(|m| is_large(m, members)).collect();
--- a/src/coordination/scatter.rs
+++ b/src/coordination/scatter.rs
@@ -118,6 +118,11 @@
     missing_reason: MissingReason,
 }
 
+/// Returns how many of `count` shards an answer needs.
+pub(crate) fn required_shards(min_shard_ratio: f64, count: usize) -> usize {
+    ((min_shard_ratio * count as f64 - 1e-9).ceil() as usize).max(1)
+}
+
 /// The state machine of one request.
 #[derive(Clone, Debug)]
 pub struct Scatter {
@@ -281,7 +286,7 @@
         let count = |state| self.shards.iter().filter(|s| s.state == state).count();
         let (answered, failed, all) =
             (count(ShardState::Answered), count(ShardState::Failed), self.shards.len());
-        let required = ((self.opts.min_shard_ratio * all as f64 - 1e-9).ceil() as usize).max(1);
+        let required = required_shards(self.opts.min_shard_ratio, all);
         let is_final = answered + failed == all || now >= self.opts.soft_deadline;
         if answered >= required && is_final {
             Decision::Answer
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
     Attempt, ConnectionUse, Dispatched, Fault, Label, NotRun, NotRunCode, Outcome, Pending,
     RawAnswer, Replied, UpstreamRefusal,
 };
+pub use coordination::division::Division;
 pub use coordination::domain_health::DomainHealth;
 pub use coordination::gatherers::{
     GatherContext, GatherRefusal, Spread, can_take, is_heavy, role, select_gatherers,
@@ -54,7 +55,7 @@
 };
 pub use protocol::dump::{Dump, UpstreamDump};
 pub use protocol::frames::{FrameError, FrameTransport, decode_batch, encode_batch};
-pub use protocol::gather::{GatherRequest, GatherResult, GatherTimes};
+pub use protocol::gather::{GatherRequest, GatherResult, GatherScope, GatherTimes};
 pub use protocol::peer::{Heartbeat, Hello, HelloReply, PROTOCOL_VERSION as PEER_PROTOCOL_VERSION};
 pub use protocol::platform::{
     HEAD_KEY, InstanceState, ListedInstance, Object, Platform, PlatformError, WriteResult,
--- a/src/protocol/gather.rs
+++ b/src/protocol/gather.rs
@@ -1,5 +1,6 @@
 //! Messages that forward a sharded request to another instance, the gatherer.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use anyhow::{Context, Result};
@@ -22,6 +23,8 @@
     pub version: u64,
     /// Name of the route.
     pub route: String,
+    /// The shards to gather, as a range of those of the route.
+    pub shards: Range<usize>,
     method: String,
     uri: String,
     headers: Vec<(String, Bytes)>,
@@ -34,6 +37,17 @@
     pub hard: Duration,
 }
 
+/// The part of a route that a request is forwarded for.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GatherScope {
+    /// Name of the route.
+    pub route: String,
+    /// Version of the route table.
+    pub version: u64,
+    /// The shards to gather, as a range of those of the route.
+    pub shards: Range<usize>,
+}
+
 /// The time of sending and the deadlines of a forwarded request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct GatherTimes {
@@ -70,20 +84,16 @@
 }
 
 impl GatherRequest {
-    /// Builds the message from a request to servers and the route, with its version, that matched.
-    pub fn new(
-        id: &str,
-        (route, version): (String, u64),
-        out: &OutgoingRequest,
-        times: GatherTimes,
-    ) -> Self {
+    /// Builds the message from a request to servers and the part of the route that matched.
+    pub fn new(id: &str, scope: GatherScope, out: &OutgoingRequest, times: GatherTimes) -> Self {
         let encode_header = |(name, value): (&HeaderName, &HeaderValue)| {
             (name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes()))
         };
         Self {
             id: id.to_owned(),
-            version,
-            route,
+            version: scope.version,
+            route: scope.route,
+            shards: scope.shards,
             method: out.method.as_str().to_owned(),
             uri: out.uri.to_string(),
             headers: out.headers.iter().map(encode_header).collect(),
--- /dev/null
+++ b/src/transport/callers/divide.rs
@@ -0,0 +1,135 @@
+//! Sharded requests that are divided among the gatherers of a failure domain.
+
+use std::ops::Range;
+use std::pin::pin;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use hyper::header::HeaderValue;
+use rand::RngExt;
+
+use crate::coordination::division::Division;
+use crate::coordination::gatherers::GatherRefusal;
+use crate::coordination::{scatter, top_records};
+use crate::protocol::codec::{CallerCodec, DeclineReason};
+use crate::state::members::Member;
+use crate::state::routes::{Route, ScatterGather};
+use crate::state::topology::TopologyView;
+use crate::transport::callers::proxy::{GatheredParts, Proxy, decline_reason, merge_parts};
+use crate::transport::http::FullResponse;
+use crate::transport::upstreams::run::{Job, run};
+
+/// Maximum number of gatherers that may refuse a range; this instance then gathers it.
+const MAX_REFUSALS: usize = 2;
+
+/// A sharded request as shared by its ranges.
+#[derive(Clone, Copy)]
+struct Divided<'a> {
+    division: &'a Division<'a>,
+    gathering: &'a ScatterGather,
+    route: &'a Route,
+    job: &'a Job,
+    view: &'a TopologyView,
+}
+
+impl<C: CallerCodec> Proxy<C> {
+    /// Divides a request among gatherers; returns `None` if one instance gathers all of it.
+    pub(crate) async fn try_divide(
+        &self,
+        gathering: &ScatterGather,
+        route: &Route,
+        job: &Job,
+        view: &TopologyView,
+    ) -> Option<Result<FullResponse, DeclineReason>> {
+        let peers = self.peers.as_ref()?;
+        let (context, members) = (self.gather_context(peers, gathering), peers.members());
+        let held = self.responsive_shards(view, gathering);
+        let choose = |count| rand::rng().random_range(0..count);
+        let division = &Division::new(context, &held, &members, choose)?;
+        let parts = self.gather_ranges(Divided { division, gathering, route, job, view }).await;
+        Some(parts.map(|parts| self.gathered_response(parts)))
+    }
+
+    /// Gathers all ranges at the same time; fails once too many shards are without an answer.
+    ///
+    /// From the soft deadline on, ranges that are not needed for the minimum ratio of shards are not waited for.
+    async fn gather_ranges(&self, divided: Divided<'_>) -> Result<GatheredParts, DeclineReason> {
+        let Divided { division, gathering, job, .. } = divided;
+        let shard_count = gathering.shards.len();
+        let max_missing =
+            shard_count - scatter::required_shards(gathering.min_shard_ratio, shard_count);
+        let ranges = division.ranges.iter().enumerate();
+        let mut ranges: FuturesUnordered<_> = ranges
+            .map(|(index, shards)| async move {
+                (shards.len(), self.gather_range(divided, index, shards.clone()).await)
+            })
+            .collect();
+        let (mut gathered, mut missing, mut awaited) = (Vec::new(), 0, shard_count);
+        let mut soft_deadline = pin!(self.tier.clock.sleep_until(job.opts.soft_deadline));
+        let mut is_due = false;
+        while awaited > 0 && !(is_due && missing + awaited <= max_missing) {
+            let (len, result) = tokio::select! {
+                Some(range) = ranges.next() => range,
+                () = &mut soft_deadline, if !is_due => {
+                    is_due = true;
+                    continue;
+                }
+            };
+            awaited -= len;
+            missing += result.as_ref().map_or(len, |parts| parts.missing);
+            match result {
+                Ok(parts) => gathered.push(parts),
+                Err(DeclineReason::TimedOut) if missing > max_missing => {
+                    return Err(DeclineReason::TimedOut);
+                }
+                // the other ranges may have run
+                Err(_) if missing > max_missing => return Err(DeclineReason::Failed),
+                Err(_) => {}
+            }
+        }
+        Ok(self.merge_ranges(gathering, &gathered, missing + awaited))
+    }
+
+    fn merge_ranges(
+        &self,
+        gathering: &ScatterGather,
+        gathered: &[GatheredParts],
+        missing: usize,
+    ) -> GatheredParts {
+        let bodies: Vec<_> = gathered.iter().map(|parts| parts.body.clone()).collect();
+        let body = top_records::top_records(&bodies, self.codec.record_size(), gathering.top_k);
+        let signatures: Vec<HeaderValue> =
+            gathered.iter().flat_map(|parts| &parts.signatures).cloned().collect();
+        GatheredParts { body, signatures, missing }
+    }
+
+    /// Gathers a range at the first gatherer that accepts it, or here.
+    async fn gather_range(
+        &self,
+        divided: Divided<'_>,
+        index: usize,
+        shards: Range<usize>,
+    ) -> Result<GatheredParts, DeclineReason> {
+        let Divided { division, gathering, route, job, view } = divided;
+        let mut refused = Vec::new();
+        while let Some(peers) = &self.peers
+            && refused.len() < MAX_REFUSALS
+        {
+            let may_gather =
+                |m: &&Member| m.addr != peers.opts.me.addr || self.can_take(shards.len());
+            let preferred = division.preferred(index).filter(may_gather);
+            let Some(Some(gatherer)) = peers.first_gatherer(preferred, &refused) else { break };
+            match self.forward(&gatherer, (route, shards.clone()), job, view).await {
+                Ok(result) => return result,
+                Err(GatherRefusal::Version | GatherRefusal::Unfit) => break,
+                Err(_) => refused.push(gatherer.addr()),
+            }
+        }
+        let mut job = job.clone();
+        job.opts.shards = gathering.shards[shards].to_vec();
+        match run(&self.tier, view, job).await {
+            Ok(gathered) => Ok(merge_parts(gathering, &gathered, self.codec.record_size())),
+            Err(given_up) => Err(decline_reason(given_up.ran, given_up.late)),
+        }
+    }
+}
--- a/src/transport/callers/forward.rs
+++ b/src/transport/callers/forward.rs
@@ -1,6 +1,7 @@
 //! Sharded requests that are forwarded to a gatherer, and those gathered for peers.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,18 +9,20 @@
 use futures::future::BoxFuture;
 use futures::{FutureExt, TryFutureExt};
 use hyper::header::HeaderValue;
+use indexmap::IndexMap;
 
 use crate::coordination::gatherers::{
     GatherContext, GatherRefusal, can_take, is_heavy, select_gatherers, shards_by_domain,
 };
 use crate::coordination::scatter::ScatterOptions;
 use crate::protocol::codec::{CallerCodec, DeclineReason};
-use crate::protocol::gather::{GatherRequest, GatherResult, GatherTimes};
+use crate::protocol::gather::{GatherRequest, GatherResult, GatherScope, GatherTimes};
 use crate::state::routes::{Route, ScatterGather, Target};
 use crate::state::time::Tick;
 use crate::state::topology::TopologyView;
-use crate::transport::callers::proxy::{Proxy, decline_reason, merge_parts};
+use crate::transport::callers::proxy::{GatheredParts, Proxy, decline_reason, merge_parts};
 use crate::transport::http::FullResponse;
+use crate::transport::peers::Peers;
 use crate::transport::peers::gather::{GatherFailure, GatherHandler, Gatherer};
 use crate::transport::upstreams::run::{GivenUp, Job, run};
 
@@ -39,8 +42,9 @@
         while refused.len() < MAX_BUSY_GATHERERS
             && let Some(gatherer) = self.select_gatherer(gathering, view, &refused)
         {
-            match self.forward(&gatherer, route, job, view).await {
-                Ok(result) => return Some(result),
+            let shards = 0..gathering.shards.len();
+            match self.forward(&gatherer, (route, shards), job, view).await {
+                Ok(result) => return Some(result.map(|parts| self.gathered_response(parts))),
                 Err(GatherRefusal::Busy) => refused.push(gatherer.addr()),
                 Err(_) => break,
             }
@@ -55,15 +59,12 @@
         view: &TopologyView,
         refused: &[SocketAddr],
     ) -> Option<Gatherer> {
-        let (peers, unresponsive) = (self.peers.as_ref()?, self.tier.unresponsive_domains());
-        let held =
-            shards_by_domain(view, &gathering.shards, |s| !unresponsive.contains(&s.report.domain));
-        let (me, request_rate) = (&peers.opts.me, self.tier.sharded_request_rate());
-        let members = peers.members();
-        let context = GatherContext { me, request_rate, shard_count: gathering.shards.len() };
+        let peers = self.peers.as_ref()?;
+        let (context, members) = (self.gather_context(peers, gathering), peers.members());
+        let (me, held) = (context.me, self.responsive_shards(view, gathering));
         let mut gatherers = select_gatherers(context, &held, &members);
         let first = *gatherers.first()?;
-        if !can_take(me.power, self.tier.shards_in_flight(), context.shard_count) {
+        if !self.can_take(context.shard_count) {
             gatherers.retain(|m| m.addr != me.addr);
         }
         let width = if is_heavy(first.power, context.shard_count) {
@@ -78,14 +79,34 @@
         peers.pick_gatherer(&gatherers, width, refused)
     }
 
-    /// Forwards a request to a gatherer, unless it refuses and no server gets it.
-    async fn forward(
+    /// Returns the inputs that decide where a request is gathered.
+    pub(crate) fn gather_context<'a>(
+        &self,
+        peers: &'a Peers,
+        gathering: &ScatterGather,
+    ) -> GatherContext<'a> {
+        let request_rate = self.tier.sharded_request_rate();
+        GatherContext { me: &peers.opts.me, request_rate, shard_count: gathering.shards.len() }
+    }
+
+    /// Counts, for each responsive failure domain, the shards with a server there.
+    pub(crate) fn responsive_shards<'a>(
+        &self,
+        view: &'a TopologyView,
+        gathering: &ScatterGather,
+    ) -> IndexMap<&'a str, usize> {
+        let unresponsive = self.tier.unresponsive_domains();
+        shards_by_domain(view, &gathering.shards, |s| !unresponsive.contains(&s.report.domain))
+    }
+
+    /// Forwards some shards of a request to a gatherer, unless it refuses and no server gets it.
+    pub(crate) async fn forward(
         &self,
         gatherer: &Gatherer,
-        route: &Route,
+        (route, shards): (&Route, Range<usize>),
         job: &Job,
         view: &TopologyView,
-    ) -> Result<Result<FullResponse, DeclineReason>, GatherRefusal> {
+    ) -> Result<Result<GatheredParts, DeclineReason>, GatherRefusal> {
         let version = view.route_table.as_ref().map_or(0, |table| table.version);
         let now = self.tier.now();
         // the gatherer takes the way there off itself, by the time of sending
@@ -97,12 +118,12 @@
             soft: time_left(job.opts.soft_deadline),
             hard: time_left(job.opts.hard_deadline),
         };
-        let route_version = (self.tier.names.route_name(route.key), version);
-        let request = GatherRequest::new(&job.id, route_version, &job.outgoing, times);
+        let scope = GatherScope { route: self.tier.names.route_name(route.key), version, shards };
+        let request = GatherRequest::new(&job.id, scope, &job.outgoing, times);
         let failed = Ok(Err(DeclineReason::Failed));
         let (outcome, missing, result) = match gatherer.forward(request).await {
             Ok(GatherResult::Answer { body, signatures, missing }) => {
-                ("answered", missing, Ok(self.forwarded_response(body, &signatures, missing)))
+                ("answered", missing, Ok(decode_parts(body, &signatures, missing)))
             }
             Ok(GatherResult::NotTaken(refusal)) => {
                 let (request, gatherer) = (job.id.as_str(), gatherer.name());
@@ -124,22 +145,6 @@
         result
     }
 
-    fn forwarded_response(
-        &self,
-        body: Bytes,
-        signatures: &[Bytes],
-        missing: usize,
-    ) -> Result<FullResponse, DeclineReason> {
-        let signatures = signatures.iter().map(|s| HeaderValue::from_bytes(s));
-        match signatures.collect::<Result<Vec<_>, _>>() {
-            Ok(signatures) => Ok(self.gathered_response(body, &signatures, missing)),
-            Err(e) => {
-                log::error!("gatherer returned an invalid signature header: {e}");
-                Err(DeclineReason::Failed)
-            }
-        }
-    }
-
     /// Builds the job for a request from a peer, or returns why it is refused.
     fn job_for_peer(
         &self,
@@ -162,8 +167,8 @@
         if self.tier.must_refuse(route) {
             return Err(GatherRefusal::Cut);
         }
-        let power = self.peers.as_ref().map_or(0, |peers| peers.opts.me.power);
-        if !can_take(power, self.tier.shards_in_flight(), gathering.shards.len()) {
+        let shards = gathering.shards.get(request.shards.clone()).ok_or(GatherRefusal::Unfit)?;
+        if !self.can_take(shards.len()) {
             return Err(GatherRefusal::Busy);
         }
         let now = self.tier.now();
@@ -172,7 +177,7 @@
             GatherRefusal::Unfit
         })?;
         let opts = ScatterOptions {
-            shards: gathering.shards.clone(),
+            shards: shards.to_vec(),
             max_attempts: route.max_attempts.max(1),
             idempotent: true,
             min_shard_ratio: gathering.min_shard_ratio,
@@ -189,6 +194,12 @@
         Ok((job, view, gathering.clone()))
     }
 
+    /// Returns whether this instance gathers that many shards more.
+    pub(crate) fn can_take(&self, shard_count: usize) -> bool {
+        let power = self.peers.as_ref().map_or(0, |peers| peers.opts.me.power);
+        can_take(power, self.tier.shards_in_flight(), shard_count)
+    }
+
     async fn gather_for_peer(
         self: Arc<Self>,
         request: GatherRequest,
@@ -201,7 +212,8 @@
         };
         let record_size = self.codec.record_size();
         let answer = |gathered| {
-            let (body, signatures, missing) = merge_parts(&gathering, &gathered, record_size);
+            let GatheredParts { body, signatures, missing } =
+                merge_parts(&gathering, &gathered, record_size);
             let signatures = signatures.iter().map(|s| Bytes::copy_from_slice(s.as_bytes()));
             GatherResult::Answer { body, signatures: signatures.collect(), missing }
         };
@@ -213,6 +225,22 @@
     }
 }
 
+/// Decodes the parts that a gatherer has merged.
+fn decode_parts(
+    body: Bytes,
+    signatures: &[Bytes],
+    missing: usize,
+) -> Result<GatheredParts, DeclineReason> {
+    let signatures = signatures.iter().map(|s| HeaderValue::from_bytes(s));
+    match signatures.collect::<Result<Vec<_>, _>>() {
+        Ok(signatures) => Ok(GatheredParts { body, signatures, missing }),
+        Err(e) => {
+            log::error!("gatherer returned an invalid signature header: {e}");
+            Err(DeclineReason::Failed)
+        }
+    }
+}
+
 impl<C: CallerCodec> GatherHandler for Proxy<C> {
     fn gather(
         self: Arc<Self>,
--- a/src/transport/callers/proxy.rs
+++ b/src/transport/callers/proxy.rs
@@ -112,6 +112,9 @@
         };
         if let Target::Gather(gathering) = &route.target {
             self.tier.record_sharded_request(arrival.arrived_at);
+            if let Some(result) = self.try_divide(gathering, route, &job, &view).await {
+                return result;
+            }
             if let Some(result) = self.try_forward(gathering, route, &job, &view).await {
                 return result;
             }
@@ -185,23 +188,16 @@
     fn response(&self, route: &Route, mut gathered: Gathered) -> FullResponse {
         match &route.target {
             Target::Gather(gathering) => {
-                let (body, signatures, missing) =
-                    merge_parts(gathering, &gathered, self.codec.record_size());
-                self.gathered_response(body, &signatures, missing)
+                self.gathered_response(merge_parts(gathering, &gathered, self.codec.record_size()))
             }
             Target::Split(_) => self.server_response(gathered.parts.swap_remove(0).1),
         }
     }
 
     /// Builds the response to a sharded request.
-    pub(crate) fn gathered_response(
-        &self,
-        body: Bytes,
-        signatures: &[HeaderValue],
-        missing: usize,
-    ) -> FullResponse {
-        let mut res = Response::new(Full::new(body));
-        *res.headers_mut() = self.codec.gathered_headers(signatures, missing);
+    pub(crate) fn gathered_response(&self, parts: GatheredParts) -> FullResponse {
+        let mut res = Response::new(Full::new(parts.body));
+        *res.headers_mut() = self.codec.gathered_headers(&parts.signatures, parts.missing);
         res
     }
 
@@ -237,17 +233,28 @@
     }
 }
 
-/// Returns the top records of all parts, their signatures, and the number of missing parts.
+/// The merged parts of some or all shards of a request.
+#[derive(Debug)]
+pub(crate) struct GatheredParts {
+    /// The top records of all parts.
+    pub(crate) body: Bytes,
+    /// The signatures of the parts.
+    pub(crate) signatures: Vec<HeaderValue>,
+    /// Number of shards without a part.
+    pub(crate) missing: usize,
+}
+
+/// Merges the parts of a gathered request.
 pub(crate) fn merge_parts(
     gathering: &ScatterGather,
     gathered: &Gathered,
     record_size: usize,
-) -> (Bytes, Vec<HeaderValue>, usize) {
+) -> GatheredParts {
     let parts = || gathered.parts.iter().map(|(_, a)| a);
     let signatures = parts().filter_map(|a| a.signature.clone()).collect();
     let bodies: Vec<Bytes> = parts().map(|a| a.body.clone()).collect();
     let body = top_records::top_records(&bodies, record_size, gathering.top_k);
-    (body, signatures, gathered.missing.len())
+    GatheredParts { body, signatures, missing: gathered.missing.len() }
 }
 
 fn find_route<'a>(table: &'a RouteTable, req: &Request<Incoming>) -> Option<&'a Route> {
--- a/src/transport/peers/gather.rs
+++ b/src/transport/peers/gather.rs
@@ -130,24 +130,43 @@
         width: usize,
         refused: &[SocketAddr],
     ) -> Option<Gatherer> {
-        let now = self.now();
-        let usable_link = |m: &&Member| {
-            if m.addr == self.opts.me.addr {
-                return Some(None);
-            }
-            let is_usable = self.gatherers.record_use(m.addr, now)
-                && !self.faults.is_peer_cut(m.addr)
-                && !refused.contains(&m.addr);
-            let link = is_usable.then(|| self.links.get_open(m.addr)).flatten()?;
-            Some(Some(Gatherer { peers: self.clone(), link, member: (*m).clone() }))
-        };
-        let mut usable: Vec<Option<Gatherer>> = members.iter().filter_map(usable_link).collect();
+        let usable = members.iter().filter_map(|m| self.usable_gatherer(m, refused));
+        let mut usable: Vec<Option<Gatherer>> = usable.collect();
         usable.truncate(width);
         let indices: Vec<usize> = (0..usable.len()).collect();
         let index = indices.choose(&mut rand::rng())?;
         usable.swap_remove(*index)
     }
 
+    /// Returns the first of `members` that is not excluded or in `refused` and has an open link; the inner `None` is this
+    /// instance. The links to all of them are kept open.
+    pub(crate) fn first_gatherer<'a>(
+        self: &Arc<Self>,
+        members: impl Iterator<Item = &'a Member>,
+        refused: &[SocketAddr],
+    ) -> Option<Option<Gatherer>> {
+        members.fold(None, |first, member| {
+            let usable = self.usable_gatherer(member, refused);
+            first.or(usable)
+        })
+    }
+
+    /// Records the use of a gatherer, and returns it if it can be used now; the inner `None` is this instance.
+    fn usable_gatherer(
+        self: &Arc<Self>,
+        member: &Member,
+        refused: &[SocketAddr],
+    ) -> Option<Option<Gatherer>> {
+        if member.addr == self.opts.me.addr {
+            return Some(None);
+        }
+        let is_usable = self.gatherers.record_use(member.addr, self.now())
+            && !self.faults.is_peer_cut(member.addr)
+            && !refused.contains(&member.addr);
+        let link = is_usable.then(|| self.links.get_open(member.addr)).flatten()?;
+        Some(Some(Gatherer { peers: self.clone(), link, member: member.clone() }))
+    }
+
     /// Gathers a request from a peer; refuses it if it was sent too long ago.
     pub(crate) async fn gather_for_peer(&self, request: GatherRequest) -> GatherResult {
         let age = self.now().since(request.sent);
--- a/src/transport/upstreams/run.rs
+++ b/src/transport/upstreams/run.rs
@@ -22,6 +22,7 @@
 const MAX_LOGGED_REASONS: usize = 3;
 
 /// One request to scatter, from any front end.
+#[derive(Clone)]
 pub(crate) struct Job {
     /// ID of the request, for logs.
     pub(crate) id: String,
--- /dev/null
+++ b/tests/division.rs
@@ -0,0 +1,249 @@
+//! Division of sharded requests among gatherers, and the load that it answers.
+
+mod support;
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use support::seeds;
+use tamarackdeck::{Division, GatherContext, InstanceId, Member};
+
+fn member((name, domain, power): &(&str, &str, u32)) -> Member {
+    let addr = "127.0.0.1:9".parse().unwrap();
+    Member { id: InstanceId((*name).to_owned()), domain: (*domain).to_owned(), addr, power: *power }
+}
+
+const LARGE: &[(&str, &str, u32)] = &[
+    ("a", "d", 120),
+    ("x", "d", 500),
+    ("y", "d", 500),
+    ("z", "d", 500),
+    ("b", "e", 120),
+    ("u", "e", 500),
+];
+
+struct Case {
+    name: &'static str,
+    /// Name, failure domain and processor power of each member.
+    members: &'static [(&'static str, &'static str, u32)],
+    /// The member that has the request.
+    me: usize,
+    /// Number of shards in each failure domain.
+    held: &'static [(&'static str, usize)],
+    shard_count: usize,
+    rate: f64,
+    /// Number of shards in each range; empty if one instance gathers all of them.
+    ranges: &'static [usize],
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "one range for each gatherer",
+        members: LARGE,
+        me: 0,
+        held: &[("d", 180)],
+        shard_count: 180,
+        rate: 1.0,
+        ranges: &[60, 60, 60],
+    },
+    Case {
+        name: "a gatherer divides its own requests too",
+        members: LARGE,
+        me: 1,
+        held: &[("d", 180)],
+        shard_count: 180,
+        rate: 9.0,
+        ranges: &[60, 60, 60],
+    },
+    Case {
+        name: "ranges are not made small",
+        members: LARGE,
+        me: 0,
+        held: &[("d", 70)],
+        shard_count: 70,
+        rate: 1.0,
+        ranges: &[35, 35],
+    },
+    Case {
+        name: "few shards are gathered by one instance",
+        members: LARGE,
+        me: 0,
+        held: &[("d", 20)],
+        shard_count: 20,
+        rate: 1.0,
+        ranges: &[],
+    },
+    Case {
+        name: "an instance without near shards divides them in a domain that holds the most",
+        members: LARGE,
+        me: 4,
+        held: &[("d", 180), ("f", 20)],
+        shard_count: 180,
+        rate: 1.0,
+        ranges: &[60, 60, 60],
+    },
+    Case {
+        name: "one gatherer",
+        members: LARGE,
+        me: 4,
+        held: &[("e", 180)],
+        shard_count: 180,
+        rate: 1.0,
+        ranges: &[],
+    },
+    Case {
+        name: "no domain holds enough",
+        members: LARGE,
+        me: 0,
+        held: &[("d", 60), ("e", 60)],
+        shard_count: 180,
+        rate: 1.0,
+        ranges: &[],
+    },
+    Case {
+        name: "a large instance with warm connections that is no gatherer",
+        members: &[("a", "d", 500), ("b", "d", 500), ("c", "d", 500), ("e", "d", 500)],
+        me: usize::MAX,
+        held: &[("d", 180)],
+        shard_count: 180,
+        rate: 9.0,
+        ranges: &[],
+    },
+];
+
+fn names(division: &Division<'_>) -> Vec<String> {
+    division.gatherers.iter().map(|m| m.id.name().to_owned()).collect()
+}
+
+#[test]
+fn each_gatherer_has_a_range_of_its_own() {
+    for case in CASES {
+        let members: Vec<Member> = case.members.iter().map(member).collect();
+        let held: IndexMap<&str, usize> = case.held.iter().copied().collect();
+        let divide = |me: &Member, rate| {
+            let context = GatherContext { me, request_rate: rate, shard_count: case.shard_count };
+            Division::new(context, &held, &members, |_| 0)
+        };
+        // the one that is no gatherer depends on the hashes of the names
+        let me = members.get(case.me).unwrap_or_else(|| {
+            let gatherers = names(&divide(&members[0], 0.0).expect("divided"));
+            members.iter().find(|m| !gatherers.iter().any(|g| g == m.id.name())).unwrap()
+        });
+        let division = divide(me, case.rate);
+        let lengths =
+            division.as_ref().map_or(Vec::new(), |d| d.ranges.iter().map(|r| r.len()).collect());
+        assert_eq!(lengths, case.ranges, "{}", case.name);
+        let Some(division) = division else { continue };
+        let mut next = 0;
+        for (index, range) in division.ranges.iter().enumerate() {
+            assert_eq!(range.start, next, "{}: ranges follow each other", case.name);
+            next = range.end;
+            let preferred: Vec<_> = division.preferred(index).map(|m| m.id.name()).collect();
+            assert_eq!(preferred[0], division.gatherers[index].id.name(), "{}", case.name);
+            assert_eq!(preferred.len(), division.gatherers.len(), "{}: all may take it", case.name);
+        }
+        assert_eq!(next, case.shard_count, "{}: every shard is in a range", case.name);
+        let other = divide(&members[0], 0.0).map(|d| names(&d));
+        assert!(
+            other.is_none_or(|o| o == names(&division)),
+            "{}: all agree on the order",
+            case.name
+        );
+    }
+}
+
+/// Requests on gatherers whose processors are slower than those that they were sized for.
+struct LoadCase {
+    name: &'static str,
+    shard_count: usize,
+    /// Processor power of each of three gatherers, in thousandths of a core.
+    power: u32,
+    /// Requests per second to the domain.
+    rate: f64,
+    /// Processor time for one shard, dispatch and part together.
+    shard_cost: Duration,
+    /// Minimum share of the requests whose parts have all been read within [`GATHER_TIME`].
+    min_share: f64,
+}
+
+/// Time for gathering within a target of 120 ms: without the ways to caller and gatherer, and the slowest answer.
+const GATHER_TIME: Duration = Duration::from_millis(60);
+
+const LOADS: &[LoadCase] = &[
+    LoadCase {
+        name: "180 shards, as sized",
+        shard_count: 180,
+        power: 500,
+        rate: 16.0,
+        shard_cost: Duration::from_micros(75),
+        min_share: 0.99,
+    },
+    LoadCase {
+        name: "180 shards, processors half as fast",
+        shard_count: 180,
+        power: 500,
+        rate: 16.0,
+        shard_cost: Duration::from_micros(150),
+        min_share: 0.95,
+    },
+    LoadCase {
+        name: "270 shards, processors half as fast",
+        shard_count: 270,
+        power: 500,
+        rate: 16.0,
+        shard_cost: Duration::from_micros(150),
+        min_share: 0.8,
+    },
+    LoadCase {
+        name: "180 shards, gatherers of an eighth of a core",
+        shard_count: 180,
+        power: 120,
+        rate: 1.0,
+        shard_cost: Duration::from_micros(75),
+        min_share: 0.95,
+    },
+];
+
+/// Replays requests on processors that each work on one range after the other; returns the share that is gathered in time.
+fn replay(case: &LoadCase, seed: u64) -> f64 {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let members = ["x", "y", "z"].map(|name| member(&(name, "d", case.power)));
+    let held: IndexMap<&str, usize> = [("d", case.shard_count)].into_iter().collect();
+    let mut busy_until: IndexMap<&str, f64> = members.iter().map(|m| (m.id.name(), 0.0)).collect();
+    let cost = case.shard_cost.as_secs_f64() * 1_000.0 / f64::from(case.power);
+    let (mut now, mut in_time) = (0.0, 0);
+    const REQUESTS: usize = 2_000;
+    for _ in 0..REQUESTS {
+        now += -rng.random_range(1e-9f64..1.0).ln() / case.rate;
+        let me = &members[rng.random_range(0..members.len())];
+        let context = GatherContext { me, request_rate: 0.0, shard_count: case.shard_count };
+        let division = Division::new(context, &held, &members, |_| 0);
+        let ranges = match &division {
+            Some(d) => {
+                d.ranges.iter().enumerate().map(|(i, r)| (d.gatherers[i], r.len())).collect()
+            }
+            None => vec![(me, case.shard_count)],
+        };
+        let mut gathered_at = now;
+        for (gatherer, shards) in ranges {
+            let busy = &mut busy_until[gatherer.id.name()];
+            *busy = busy.max(now) + shards as f64 * cost;
+            gathered_at = gathered_at.max(*busy);
+        }
+        in_time += usize::from(gathered_at - now <= GATHER_TIME.as_secs_f64());
+    }
+    in_time as f64 / REQUESTS as f64
+}
+
+#[test]
+fn requests_to_many_shards_meet_their_target_on_slow_processors() {
+    for case in LOADS {
+        for seed in seeds(20) {
+            let share = replay(case, seed);
+            println!("case: {}, seed {seed}: {share:.3}", case.name);
+            assert!(share >= case.min_share, "{}, seed {seed}: {share:.3} in time", case.name);
+        }
+    }
+}
--- a/tests/gatherers.rs
+++ b/tests/gatherers.rs
@@ -7,8 +7,8 @@
 use indexmap::IndexMap;
 use support::ms;
 use tamarackdeck::{
-    GatherContext, GatherRefusal, GatherRequest, GatherTimes, InstanceId, Member, OutgoingRequest,
-    Role, Spread, can_take, connection_share, is_heavy, role, select_gatherers,
+    GatherContext, GatherRefusal, GatherRequest, GatherScope, GatherTimes, InstanceId, Member,
+    OutgoingRequest, Role, Spread, can_take, connection_share, is_heavy, role, select_gatherers,
 };
 
 fn member((name, domain, power): &(&str, &str, u32)) -> Member {
@@ -319,8 +319,9 @@
             body: Bytes::from_static(b"body"),
             labels: vec!["a1".to_owned()],
         };
+        let scope = GatherScope { route: "r".to_owned(), version: 7, shards: 60..120 };
         let times = GatherTimes { sent: ms(1), ..Default::default() };
-        let query = GatherRequest::new("a1", ("r".to_owned(), 7), &out, times);
+        let query = GatherRequest::new("a1", scope, &out, times);
         let sent = tamarackdeck::encode_batch(std::slice::from_ref(&query)).unwrap();
         let came: Vec<GatherRequest> = tamarackdeck::decode_batch(&sent).unwrap();
         assert_eq!(came, [query], "{}", case.name);
