A server that leaves or asks for time is sent nothing, and callers are refused at once where none is left

A server that announced in its answers that it leaves was sent requests until its entry said so, and for as long as the store was away; one that turned requests away with a time got the next requests all the same, so that it could not recover.

Change: coordination/server_notices.rs keeps what one run of a server asked for: nothing more, or nothing for a time. It gives a permit for each request, and an attempt can be dispatched only with one, so that no way to a server (first sends, hedges, retries, ranges, requests that waited for a connection) can pass it by. The notices of a run outlive its entry, in a table of at most 9,000 runs, so that an old list does not bring it back; a new run starts clean. Connections to a leaving server are closed once idle, and requests that wait for one are woken. Retry-After is decoded once for both codecs (seconds, fractions, dates against the reply's own; what is invalid is logged once for each server and ignored). A request whose shards have too few servers that accept one is refused before anything is sent (503), with the time at which the first is free again; callers get places one after another (coordination/return_times.rs), at the rate of this instance's share. No request is sent within the time, though two would be allowed: a probe is no use to a server that said when it will be free.

--- a/src/coordination/attempt.rs
+++ b/src/coordination/attempt.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::coordination::server_notices::SendPermit;
 use crate::state::fleet::Snapshot;
 use crate::state::snapshot_range::SnapshotRange;
 
@@ -27,6 +28,8 @@
     Leaving,
     /// The upstream shed it because of load.
     Shed,
+    /// The upstream asked for a time without requests, which has not passed.
+    BackingOff,
     /// The upstream's address now belongs to another upstream.
     Replaced,
     /// The upstream does not hold the snapshot.
@@ -185,7 +188,7 @@
     }
 
     /// Marks the attempt as dispatched, after which it cannot be refused locally.
-    pub fn dispatch(self) -> Attempt<Dispatched> {
+    pub fn dispatch(self, _: SendPermit) -> Attempt<Dispatched> {
         Attempt { label: self.label, state: Dispatched(()) }
     }
 }
@@ -255,6 +258,7 @@
             NotRunCode::TooLate => "too-late",
             NotRunCode::Leaving => "leaving",
             NotRunCode::Shed => "shed",
+            NotRunCode::BackingOff => "backing-off",
             NotRunCode::Replaced => "replaced",
             NotRunCode::NotHeld => "not-held",
             NotRunCode::NoReplica => "no-replica",
--- a/src/coordination/reachability.rs
+++ b/src/coordination/reachability.rs
@@ -1,6 +1,8 @@
-//! Whether enough servers of a route are reachable to answer its requests.
+//! Whether enough servers of a route are reachable to answer its requests, and when enough may be sent one.
 
-use crate::state::arena::PoolKey;
+use crate::coordination::scatter::required_shards;
+use crate::coordination::server_notices::Availability;
+use crate::state::arena::{PoolKey, ServerKey};
 use crate::state::routes::{Route, Target};
 use crate::state::topology::{Server, TopologyView};
 
@@ -25,3 +27,22 @@
         }
     }
 }
+
+/// Returns when a request to one server of each of `pools` can be answered at the earliest, by what the servers asked for.
+///
+/// A pool without servers is never available.
+pub fn available_from(
+    pools: &[PoolKey],
+    min_shard_ratio: f64,
+    view: &TopologyView,
+    availability: impl Fn(ServerKey) -> Availability,
+) -> Availability {
+    let of_pool = |pool: &PoolKey| {
+        let servers = view.available_servers(*pool).map(|(key, _)| availability(key));
+        servers.min().unwrap_or(Availability::Never)
+    };
+    let mut times: Vec<Availability> = pools.iter().map(of_pool).collect();
+    times.sort_unstable();
+    let required = required_shards(min_shard_ratio, times.len());
+    times.get(required - 1).copied().unwrap_or(Availability::Never)
+}
--- a/src/coordination/scatter.rs
+++ b/src/coordination/scatter.rs
@@ -308,6 +308,11 @@
         self.shards[index].pool
     }
 
+    /// Returns the server pools of all shards, and the minimum ratio of shards.
+    pub(crate) fn targets(&self) -> (&[PoolKey], f64) {
+        (&self.opts.shards, self.opts.min_shard_ratio)
+    }
+
     /// Returns the indices of the shards that have not answered, and why.
     pub fn missing_shards(&self) -> Vec<(usize, MissingReason)> {
         let shards =
--- /dev/null
+++ b/src/coordination/server_notices.rs
@@ -0,0 +1,153 @@
+//! What servers ask of the instances that send to them: no request for some time, or none any more.
+//!
+//! The load pattern: servers in trouble turn requests away and say for how long, or say that they leave, while callers
+//! press on. Each refused request goes to another server, and hedges add to it. If those that asked for time are
+//! chosen again meanwhile, they never recover, and requests to one that leaves are cut off when it ends.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::coordination::attempt::NotRunCode;
+use crate::state::time::Tick;
+use crate::state::topology::ServerReport;
+
+/// Maximum time for which one reply keeps requests from a server; outages of an hour are expected now and then.
+pub const MAX_BACKOFF: Duration = Duration::from_secs(3_600);
+/// Maximum number of runs whose notices are remembered: all servers of a fleet of 4,500, and as many replaced ones.
+const MAX_RUNS: usize = 9_000;
+/// Time for which the notice of a draining run is remembered, well beyond the age of an entry that a restarted instance
+/// or a peer may bring back.
+const DRAINING_MEMORY: Duration = Duration::from_secs(600);
+
+/// What the head of one reply asks for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// The server is draining; it is to get no more requests.
+    pub draining: bool,
+    /// The server is to get no requests for this time.
+    pub backoff: Option<Duration>,
+}
+
+/// When a server may be sent a request, by what it asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Availability {
+    /// Now.
+    Now,
+    /// From this time on.
+    From(Tick),
+    /// Never again in this run.
+    Never,
+}
+
+/// A permit to send one request to a server, which its notices gave; dispatching an attempt takes it.
+#[derive(Debug, PartialEq, Eq)]
+pub struct SendPermit(());
+
+/// What one run of a server has asked for so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServerNotices {
+    is_draining: bool,
+    not_before: Tick,
+}
+
+impl ServerNotices {
+    /// Records what a reply asks for and returns whether that changed anything.
+    ///
+    /// Replies may be read in another order than they were sent: the longest time counts, and a run that drains does not
+    /// return.
+    pub fn record(&mut self, notice: Notice, now: Tick) -> bool {
+        let before = *self;
+        self.is_draining |= notice.draining;
+        if let Some(backoff) = notice.backoff {
+            self.not_before = self.not_before.max(now + backoff.min(MAX_BACKOFF));
+        }
+        before != *self
+    }
+
+    /// Permits one request now.
+    ///
+    /// # Errors
+    /// [`NotRunCode::Leaving`] or [`NotRunCode::BackingOff`], by what the server asked for.
+    pub fn permit(&self, now: Tick) -> Result<SendPermit, NotRunCode> {
+        match self.availability(now) {
+            Availability::Now => Ok(SendPermit(())),
+            Availability::From(_) => Err(NotRunCode::BackingOff),
+            Availability::Never => Err(NotRunCode::Leaving),
+        }
+    }
+
+    /// Returns when the server may be sent a request.
+    pub fn availability(&self, now: Tick) -> Availability {
+        if self.is_draining {
+            Availability::Never
+        } else if now < self.not_before {
+            Availability::From(self.not_before)
+        } else {
+            Availability::Now
+        }
+    }
+
+    /// Returns whether the server is draining.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining
+    }
+}
+
+/// Identifies one run of a server, whether or not it is listed.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct RunId {
+    id: String,
+    started_at_ms: Option<u64>,
+    addr: SocketAddr,
+}
+
+impl From<&ServerReport> for RunId {
+    fn from(report: &ServerReport) -> Self {
+        Self { id: report.id.clone(), started_at_ms: report.started_at_ms, addr: report.addr }
+    }
+}
+
+/// The notices of runs beyond their entries: one that is listed again, by an old list or a peer, has asked for the same.
+#[derive(Clone, Debug, Default)]
+pub struct NoticeMemory {
+    runs: IndexMap<RunId, (ServerNotices, Tick)>,
+}
+
+impl NoticeMemory {
+    /// Remembers the notices of a run.
+    pub fn record(&mut self, run: RunId, notices: ServerNotices, now: Tick) {
+        if self.runs.len() >= MAX_RUNS && !self.runs.contains_key(&run) {
+            self.forget(now);
+        }
+        self.runs.insert(run, (notices, now));
+    }
+
+    /// Returns what a run asked for.
+    pub fn get(&self, run: &RunId) -> Option<ServerNotices> {
+        self.runs.get(run).map(|(notices, _)| *notices)
+    }
+
+    /// Returns whether any run has asked for anything.
+    pub fn is_empty(&self) -> bool {
+        self.runs.is_empty()
+    }
+
+    /// Drops what no longer counts, and the oldest half of what is left if there is still no space.
+    pub fn forget(&mut self, now: Tick) {
+        self.runs.retain(|_, (notices, at)| match notices.availability(now) {
+            Availability::Now => false,
+            Availability::From(_) => true,
+            Availability::Never => now.since(*at) < DRAINING_MEMORY,
+        });
+        if self.runs.len() >= MAX_RUNS {
+            self.runs.drain(..MAX_RUNS / 2);
+        }
+    }
+
+    /// Returns the number of runs.
+    pub fn len(&self) -> usize {
+        self.runs.len()
+    }
+}
--- a/src/coordination/server_stats.rs
+++ b/src/coordination/server_stats.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::coordination::outlier::OutlierDetector;
+use crate::coordination::server_notices::{Notice, ServerNotices};
 use crate::coordination::shares::ColdLimiter;
 use crate::state::arena::ServerKey;
 use crate::state::snapshot_range::SnapshotRange;
@@ -39,8 +40,8 @@
     pub boot_id: Option<u64>,
     /// The snapshots that it holds.
     pub held: Option<SnapshotRange>,
-    /// Whether it is draining.
-    pub draining: bool,
+    /// What it asks for.
+    pub notice: Notice,
 }
 
 /// Statistics of one run of one server.
@@ -62,7 +63,8 @@
     boot_id: Option<u64>,
     held: Option<SnapshotRange>,
     run_reported_at: Tick,
-    draining: bool,
+    /// What this run of the server has asked for.
+    pub notices: ServerNotices,
 }
 
 impl ServerStats {
@@ -126,16 +128,20 @@
         }
     }
 
-    /// Records what the server reported about its run; a new boot ID means that it has restarted.
-    pub fn record_run(&mut self, run: RunReport, cold_duration: Duration, now: Tick) {
+    /// Records what the server reported about its run; a new boot ID means that it has restarted. Returns whether what it
+    /// asks for has changed.
+    pub fn record_run(&mut self, run: RunReport, cold_duration: Duration, now: Tick) -> bool {
+        let before = self.notices;
         if let Some(boot) = run.boot_id
             && self.boot_id.replace(boot).is_some_and(|previous| previous != boot)
         {
             self.cold_until = now + cold_duration;
+            self.notices = ServerNotices::default();
         }
         self.held = run.held.or(self.held);
-        self.draining = run.draining;
+        self.notices.record(run.notice, now);
         self.run_reported_at = now;
+        self.notices != before
     }
 
     /// Returns the snapshots that the server holds, if it reported them.
@@ -148,11 +154,6 @@
         self.run_reported_at
     }
 
-    /// Returns whether the server reported that it is draining.
-    pub fn is_draining(&self) -> bool {
-        self.draining
-    }
-
     /// Returns the recently reported load, in requests per slot.
     pub fn queue_depth(&self, now: Tick) -> Option<f64> {
         let is_fresh =
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,12 +32,16 @@
 pub use coordination::outlier::OutlierDetector;
 pub use coordination::peer_clock::{MAX_CLOCK_ERROR, PeerClock};
 pub use coordination::query::{Answer, MissingReason};
-pub use coordination::reachability::is_unreachable;
+pub use coordination::reachability::{available_from, is_unreachable};
 pub use coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
+pub use coordination::return_times::{ReturnTimes, ServiceShare};
 pub use coordination::round_robin::WeightedRoundRobin;
 pub use coordination::scatter::{
     Decision, Scatter, ScatterContext, ScatterOptions, SendResult, ShardSend,
 };
+pub use coordination::server_notices::{
+    Availability, MAX_BACKOFF, Notice, NoticeMemory, RunId, SendPermit, ServerNotices,
+};
 pub use coordination::server_stats::{Candidate, RunReport, ServerStats, pick_server};
 pub use coordination::shares::{ColdLimiter, Role, connection_share};
 pub use coordination::sliding_window::SlidingWindow;
@@ -61,6 +65,7 @@
     HEAD_KEY, InstanceState, ListedInstance, Object, Platform, PlatformError, WriteResult,
     claim_key, encode_head, head_size, parse_head, ticket_key,
 };
+pub use protocol::retry_after::{InvalidRetryAfter, parse_retry_after};
 pub use protocol::upstream::{UpstreamCodec, parse_label, parse_load};
 pub use state::arena::{Arena, Key, PoolKey, RouteKey, ServerKey, ServiceKey, UpstreamKey};
 pub use state::catalog::{Catalog, ServiceEntry, ShardEntry, ShardMapEntry};
--- a/src/protocol/codec.rs
+++ b/src/protocol/codec.rs
@@ -7,6 +7,7 @@
 use hyper::{HeaderMap, Method, StatusCode, Uri, http::response};
 
 use crate::coordination::attempt::UpstreamRefusal;
+use crate::protocol::retry_after::{InvalidRetryAfter, parse_retry_after};
 use crate::state::snapshot_range::SnapshotRange;
 
 /// A request to servers, before a server is chosen.
@@ -55,6 +56,23 @@
     pub held: Option<SnapshotRange>,
     /// The server is draining.
     pub draining: bool,
+    /// How long the server wants no requests, if its refusal says so.
+    pub backoff: Option<Duration>,
+    /// What is wrong with the time that its refusal states, if it cannot be used.
+    pub invalid_backoff: Option<InvalidRetryAfter>,
+}
+
+impl ResponseHead {
+    /// Adds what a refusal with status 503 says in `Retry-After`; other replies do not turn a request away for a time.
+    pub fn with_backoff(self, head: &response::Parts) -> Self {
+        if head.status != StatusCode::SERVICE_UNAVAILABLE {
+            return self;
+        }
+        match parse_retry_after(&head.headers) {
+            Ok(backoff) => Self { backoff, ..self },
+            Err(e) => Self { invalid_backoff: Some(e), ..self },
+        }
+    }
 }
 
 /// Encodes requests to servers and decodes their responses.
--- a/src/protocol/gather.rs
+++ b/src/protocol/gather.rs
@@ -75,7 +75,10 @@
     /// The gatherer declined it and sent nothing to any server; the sender may gather it itself.
     NotTaken(GatherRefusal),
     /// It failed and no server ran it.
-    NotRun,
+    NotRun {
+        /// When to try again, if servers asked for time.
+        retry_after: Option<Duration>,
+    },
     /// It failed and some server may have run it.
     GivenUp {
         /// Its deadline had passed.
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -7,4 +7,5 @@
 pub(crate) mod gather;
 pub(crate) mod peer;
 pub(crate) mod platform;
+pub(crate) mod retry_after;
 pub(crate) mod upstream;
--- a/src/protocol/upstream.rs
+++ b/src/protocol/upstream.rs
@@ -78,6 +78,7 @@
             draining: headers.contains_key(DRAINING),
             ..Default::default()
         }
+        .with_backoff(head)
     }
 }
 
--- a/src/transport/callers/divide.rs
+++ b/src/transport/callers/divide.rs
@@ -129,7 +129,7 @@
         job.opts.shards = gathering.shards[shards].to_vec();
         match run(&self.tier, view, job).await {
             Ok(gathered) => Ok(merge_parts(gathering, &gathered, self.codec.record_size())),
-            Err(given_up) => Err(decline_reason(given_up.ran, given_up.late)),
+            Err(given_up) => Err(decline_reason(&given_up)),
         }
     }
 }
--- a/src/transport/callers/forward.rs
+++ b/src/transport/callers/forward.rs
@@ -20,7 +20,9 @@
 use crate::state::routes::{Route, ScatterGather, Target};
 use crate::state::time::Tick;
 use crate::state::topology::TopologyView;
-use crate::transport::callers::proxy::{GatheredParts, Proxy, decline_reason, merge_parts};
+use crate::transport::callers::proxy::{
+    GatheredParts, Proxy, merge_parts, not_run_reason, ran_reason,
+};
 use crate::transport::http::FullResponse;
 use crate::transport::peers::Peers;
 use crate::transport::peers::gather::{GatherFailure, GatherHandler, Gatherer};
@@ -130,10 +132,10 @@
                 log::info!(request, gatherer, why:? = refusal; "gatherer refused the request");
                 ("not_taken", 0, Err(refusal))
             }
-            Ok(GatherResult::NotRun) => ("not_run", 0, Ok(Err(decline_reason(false, false)))),
-            Ok(GatherResult::GivenUp { late }) => {
-                ("given_up", 0, Ok(Err(decline_reason(true, late))))
+            Ok(GatherResult::NotRun { retry_after }) => {
+                ("not_run", 0, Ok(Err(not_run_reason(retry_after))))
             }
+            Ok(GatherResult::GivenUp { late }) => ("given_up", 0, Ok(Err(ran_reason(late)))),
             Err(GatherFailure::Broken) => ("broken", 0, failed),
             Err(GatherFailure::Silent) => ("silent", 0, failed),
         };
@@ -219,7 +221,7 @@
         };
         let given_up = |e: GivenUp| match e.ran {
             true => GatherResult::GivenUp { late: e.late },
-            false => GatherResult::NotRun,
+            false => GatherResult::NotRun { retry_after: e.retry_after },
         };
         run(&self.tier, &view, job).map_ok_or_else(given_up, answer).await
     }
--- a/src/transport/callers/proxy.rs
+++ b/src/transport/callers/proxy.rs
@@ -217,22 +217,32 @@
         let may_return = |a: &Answer| {
             is_split && !a.status.is_success() && self.codec.can_forward_status(a.status)
         };
-        if let Some(answer) = given_up.failure.filter(may_return) {
-            return Ok(self.server_response(answer));
+        let reason = decline_reason(&given_up);
+        match given_up.failure.filter(may_return) {
+            Some(answer) => Ok(self.server_response(answer)),
+            None => Err(reason),
         }
-        Err(decline_reason(given_up.ran, given_up.late))
     }
 }
 
 /// Returns the reason to report to the caller for a request that was given up.
-pub(crate) fn decline_reason(ran: bool, late: bool) -> DeclineReason {
-    match (ran, late) {
-        (false, _) => DeclineReason::NotRun { after: RETRY_AFTER_REFUSAL },
-        (true, true) => DeclineReason::TimedOut,
-        (true, false) => DeclineReason::Failed,
+pub(crate) fn decline_reason(given_up: &GivenUp) -> DeclineReason {
+    match given_up.ran {
+        false => not_run_reason(given_up.retry_after),
+        true => ran_reason(given_up.late),
     }
 }
 
+/// Returns the reason to report for a request that no server ran, with the time that servers asked for, if they did.
+pub(crate) fn not_run_reason(retry_after: Option<Duration>) -> DeclineReason {
+    DeclineReason::NotRun { after: retry_after.unwrap_or(RETRY_AFTER_REFUSAL) }
+}
+
+/// Returns the reason to report for a request that a server may have run.
+pub(crate) fn ran_reason(late: bool) -> DeclineReason {
+    if late { DeclineReason::TimedOut } else { DeclineReason::Failed }
+}
+
 /// The merged parts of some or all shards of a request.
 #[derive(Debug)]
 pub(crate) struct GatheredParts {
--- a/src/transport/callers/query.rs
+++ b/src/transport/callers/query.rs
@@ -10,7 +10,7 @@
 use crate::coordination::attempt::{Fault, Label, NotRunCode};
 use crate::coordination::query::{Answer, MissingReason};
 use crate::coordination::scatter::ScatterOptions;
-use crate::coordination::server_stats::RunReport;
+use crate::coordination::server_notices::Availability;
 use crate::coordination::snapshot;
 use crate::protocol::caller::{Refusal, RequestOptions};
 use crate::protocol::codec::OutgoingRequest;
@@ -224,9 +224,14 @@
     keys.sort_unstable();
     keys.dedup();
     let is_stale = |key: &ServerKey| {
-        let reported_at =
-            node.tier.servers.with(*key, |s| s.stats.run_reported_at()).unwrap_or_default();
-        reported_at == Tick::default() || now.since(reported_at) > MAX_STATUS_AGE
+        let of_server = |s: &mut ServerState| {
+            let is_backing_off = matches!(s.stats.notices.availability(now), Availability::From(_));
+            (s.stats.run_reported_at(), is_backing_off)
+        };
+        let (reported_at, is_backing_off) =
+            node.tier.servers.with(*key, of_server).unwrap_or_default();
+        let is_old = reported_at == Tick::default() || now.since(reported_at) > MAX_STATUS_AGE;
+        is_old && !is_backing_off
     };
     let requests = keys.into_iter().filter(is_stale).map(|key| refresh_status(node.clone(), key));
     let refresh = join_all(requests.collect::<Vec<_>>());
@@ -244,11 +249,7 @@
     let mut res = hyper::Response::new(());
     *res.headers_mut() = reply.headers;
     let head = node.tier.codec.parse_response_head(&res.into_parts().0);
-    let run = RunReport { boot_id: head.boot_id, held: head.held, draining: head.draining };
-    let (cold_duration, now) = (view.server_limits(server).cold_duration, node.now());
-    node.tier
-        .servers
-        .with_or_insert(key, ServerState::default, |s| s.stats.record_run(run, cold_duration, now));
+    node.tier.record_run(key, server, &head, node.now());
 }
 
 /// Sends a non-idempotent request to one upstream, and to another only if the first did not run it.
--- a/src/transport/metrics.rs
+++ b/src/transport/metrics.rs
@@ -20,6 +20,7 @@
     pub(crate) sends: IntCounterVec,
     pub(crate) extra_sends: IntCounterVec,
     pub(crate) connections: IntCounterVec,
+    pub(crate) notices: IntCounterVec,
     pub(crate) platform_calls: IntCounterVec,
     pub(crate) link_bytes: IntGauge,
     pub(crate) config_version: IntGauge,
@@ -87,6 +88,11 @@
                 "connections to servers",
                 "result",
             ),
+            notices: builder.counters(
+                &prefixed("server_notices_total"),
+                "replies by which servers asked for no more requests, or for none for some time",
+                "notice",
+            ),
             platform_calls: builder.counters(
                 &prefixed("platform_calls_total"),
                 "calls to the platform",
--- a/src/transport/operators/listener.rs
+++ b/src/transport/operators/listener.rs
@@ -114,7 +114,7 @@
                 slowness: state.stats.latency_ratio(now),
                 ejected: state.stats.outlier.is_ejected(),
                 cold: now < server.cold_until.max(state.stats.cold_until()),
-                draining: server.report.draining || state.stats.is_draining(),
+                draining: server.report.draining || state.stats.notices.is_draining(),
                 held: state.stats.held(),
             });
         (server.report.id.clone(), dump)
--- a/src/transport/upstreams/connection_pool.rs
+++ b/src/transport/upstreams/connection_pool.rs
@@ -153,6 +153,11 @@
         self.idle.clear();
     }
 
+    /// Wakes a request that waits for a connection, which will find that the server is not to be sent any.
+    pub(crate) fn wake_waiter(&self) {
+        self.open_count.released.notify_one();
+    }
+
     /// Records how long a connection took to open; the minimum estimates the round-trip time.
     pub(crate) fn record_connect(&mut self, took: Duration) {
         self.round_trip = Some(self.round_trip.map_or(took, |min| min.min(took)));
--- a/src/transport/upstreams/context.rs
+++ b/src/transport/upstreams/context.rs
@@ -7,6 +7,7 @@
 
 use crate::coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
 use crate::coordination::scatter::ScatterContext;
+use crate::coordination::server_notices::Availability;
 use crate::coordination::server_stats::{Candidate, pick_server};
 use crate::coordination::shares::Role;
 use crate::state::arena::{PoolKey, RouteKey, ServerKey};
@@ -134,7 +135,8 @@
                 round_trip: round_trip
                     + connect
                     + if is_remote { CROSS_DOMAIN_COST } else { Duration::ZERO },
-                has_capacity: is_admitted && !state.stats.is_draining(),
+                has_capacity: is_admitted
+                    && state.stats.notices.availability(now) == Availability::Now,
                 is_healthy: is_responsive && state.stats.outlier.can_send(true, now),
             }
         })
--- a/src/transport/upstreams/outcome.rs
+++ b/src/transport/upstreams/outcome.rs
@@ -9,9 +9,10 @@
 };
 use crate::coordination::domain_health::DomainHealth;
 use crate::coordination::scatter::SendResult;
-use crate::coordination::server_stats::RunReport;
+use crate::coordination::server_notices::Availability;
 use crate::protocol::codec::ResponseHead;
 use crate::state::time::Tick;
+use crate::state::topology::Server;
 use crate::transport::http::Reply;
 use crate::transport::upstreams::send::{Answer, SendOutcome, Sender};
 
@@ -48,6 +49,9 @@
         took: Duration,
     ) -> SendOutcome {
         let now = self.tier.now();
+        self.update_domain(|d| {
+            d.record_answer();
+        });
         self.record_head(&head, now);
         if let Some(refusal) = head.refusal {
             return self.record_refusal(attempt, refusal, now);
@@ -84,15 +88,38 @@
     fn record_head(&self, head: &ResponseHead, now: Tick) {
         let view = self.tier.view();
         let Some(server) = view.server(self.key) else { return };
-        self.tier.with_domain(&server.report.domain, |d| d.record_answer());
-        let cold_duration = view.server_limits(server).cold_duration;
-        let run = RunReport { boot_id: head.boot_id, held: head.held, draining: head.draining };
-        self.update_server(|s| {
-            if let Some((queue, slots)) = head.load {
-                s.stats.record_load(queue, slots, now);
+        if let Some((queue, slots)) = head.load {
+            self.update_server(|s| s.stats.record_load(queue, slots, now));
+        }
+        if self.tier.record_run(self.key, server, head, now) {
+            self.log_notices(server, now);
+        }
+        if let Some(e) = &head.invalid_backoff {
+            let is_first =
+                self.update_server(|s| !std::mem::replace(&mut s.logged_invalid_backoff, true));
+            if is_first == Some(true) {
+                let (id, server) = (self.request.id.as_str(), server.report.id.as_str());
+                log::warn!(request = id, server; "server's reply has an invalid header, which is ignored: {e}");
             }
-            s.stats.record_run(run, cold_duration, now);
-        });
+        }
+    }
+
+    /// Logs what a run of the server asked for in its reply to this request.
+    fn log_notices(&self, server: &Server, now: Tick) {
+        let Some(notices) = self.update_server(|s| s.stats.notices) else { return };
+        let (id, started_at_ms) =
+            (self.request.id.as_str(), server.report.started_at_ms.unwrap_or_default());
+        let server = server.report.id.as_str();
+        match notices.availability(now) {
+            Availability::Now => {}
+            Availability::From(at) => {
+                let backoff_ms = at.since(now).as_millis() as u64;
+                log::info!(request = id, server, started_at_ms, backoff_ms; "server asked for a time without requests");
+            }
+            Availability::Never => {
+                log::info!(request = id, server, started_at_ms; "server announced that it leaves");
+            }
+        }
     }
 
     /// Records that the server refused the request and returns the outcome.
--- a/src/transport/upstreams/run.rs
+++ b/src/transport/upstreams/run.rs
@@ -5,10 +5,13 @@
 
 use tokio::task::JoinSet;
 
+use crate::coordination::attempt::NotRunCode;
 use crate::coordination::query::MissingReason;
+use crate::coordination::return_times::ServiceShare;
 use crate::coordination::scatter::{Decision, Scatter, ScatterOptions, SendResult, ShardSend};
+use crate::coordination::server_notices::Availability;
 use crate::protocol::codec::OutgoingRequest;
-use crate::state::arena::{RouteKey, ServerKey};
+use crate::state::arena::{PoolKey, RouteKey, ServerKey};
 use crate::state::topology::TopologyView;
 use crate::transport::upstreams::context::{AnswerTimes, TierContext, retry_budget_options};
 use crate::transport::upstreams::send::{Answer, DispatchTimes, ScatterRequest, SendOutcome, send};
@@ -54,6 +57,8 @@
     pub(crate) failure: Option<Answer>,
     /// The shards without an answer, and why.
     pub(crate) missing: Vec<(usize, MissingReason)>,
+    /// When to try again, if it was not run because servers asked for time.
+    pub(crate) retry_after: Option<Duration>,
 }
 
 type Sends = JoinSet<((usize, ServerKey), SendOutcome)>;
@@ -111,6 +116,9 @@
 impl Driver<'_> {
     async fn drive(mut self, opts: ScatterOptions) -> Result<Gathered, GivenUp> {
         let mut in_flight = Sends::new();
+        if let Some(given_up) = self.refuse_unavailable(&opts) {
+            return Err(given_up);
+        }
         let (mut scatter, sends) = Scatter::start(opts, &mut self.context, self.tier.now());
         self.spawn_sends(sends, &mut in_flight);
         loop {
@@ -141,6 +149,43 @@
         }
     }
 
+    /// Refuses a request at once if too few of its shards have a server that may be sent it.
+    fn refuse_unavailable(&self, opts: &ScatterOptions) -> Option<GivenUp> {
+        let (tier, now) = (self.tier, self.tier.now());
+        let availability =
+            tier.available_from(&opts.shards, opts.min_shard_ratio, self.context.view, now);
+        let why = match availability {
+            Availability::Now => return None,
+            Availability::From(_) => NotRunCode::BackingOff,
+            Availability::Never => NotRunCode::NoReplica,
+        };
+        let retry_after = self.return_time(availability, &opts.shards);
+        let (id, route, version) = self.log_context();
+        let (reason, after_ms) = (why.as_str(), retry_after.map(|d| d.as_millis() as u64));
+        log::info!(
+            request = id, route = route.as_str(), version, reason, after_ms;
+            "request refused because too few shards have a server that accepts requests"
+        );
+        let missing = (0..opts.shards.len()).map(|shard| (shard, MissingReason::Refused(why)));
+        let missing = missing.collect();
+        Some(GivenUp { ran: false, late: false, failure: None, missing, retry_after })
+    }
+
+    /// Returns when the caller of a request that was not run may return, if servers asked for time until then.
+    fn return_time(&self, availability: Availability, pools: &[PoolKey]) -> Option<Duration> {
+        let Availability::From(free_at) = availability else { return None };
+        let servers = pools.first().map(|pool| self.context.view.available_servers(*pool));
+        let share = ServiceShare {
+            slots: servers.into_iter().flatten().map(|(_, server)| server.report.slots).sum(),
+            usual: self.request.times.usual,
+            instances: self.tier.instances(),
+        };
+        let now = self.tier.now();
+        Some(self.tier.route_stats.with_or_insert(self.route, RouteStats::default, |s| {
+            s.return_times.next(free_at, share, now)
+        }))
+    }
+
     fn log_hedge(&self, hedge: &ShardSend) {
         let (id, server, shard) =
             (self.request.id.as_str(), self.server_id(hedge.server), hedge.shard);
@@ -223,14 +268,18 @@
 
     fn given_up(self, ran: bool, scatter: &Scatter) -> GivenUp {
         let missing = scatter.missing_shards();
-        let late = self.tier.now() >= self.request.hard_deadline;
+        let (pools, min_shard_ratio) = scatter.targets();
+        let now = self.tier.now();
+        let availability = self.tier.available_from(pools, min_shard_ratio, self.context.view, now);
+        let retry_after = if ran { None } else { self.return_time(availability, pools) };
+        let late = now >= self.request.hard_deadline;
         let (id, route, version) = self.log_context();
         let why = self.format_missing(scatter, &missing);
         log::info!(
             request = id, route = route.as_str(), version, missing = missing.len(), late, ran,
             why = why.as_str(); "request given up"
         );
-        GivenUp { ran, late, failure: self.failure, missing }
+        GivenUp { ran, late, failure: self.failure, missing, retry_after }
     }
 }
 
--- a/src/transport/upstreams/send.rs
+++ b/src/transport/upstreams/send.rs
@@ -13,9 +13,11 @@
 
 use crate::coordination::attempt::{Attempt, Fault, NotRunCode, Outcome, Pending};
 use crate::coordination::scatter::SendResult;
+use crate::coordination::server_notices::SendPermit;
 use crate::protocol::codec::{OutgoingRequest, ResponseHead};
 use crate::state::arena::ServerKey;
 use crate::state::time::Tick;
+use crate::state::topology::{Server, TopologyView};
 use crate::transport::http::{self, Reply, ReplyError};
 use crate::transport::upstreams::connection_pool::{Checkout, Connection};
 use crate::transport::upstreams::context::AnswerTimes;
@@ -237,6 +239,10 @@
             };
             let limits = view.server_limits(server);
             let now = self.tier.now();
+            if let Err(why) = self.permit(now) {
+                self.update_server(|s| s.connections.wake_waiter());
+                return Err(why);
+            }
             let limit = self.tier.connection_limit(limits.connections, now);
             let checkout = self.tier.servers.with_or_insert(self.key, ServerState::default, |s| {
                 let prefer_new = s.stats.oldest_in_flight(now) > PREFER_NEW_AGE;
@@ -270,14 +276,15 @@
         let sent_at = self.tier.now();
         let time_left = self.request.hard_deadline.since(sent_at);
         let view = self.tier.view();
-        let server = view.available_server(self.key);
-        let Some(server) = server.filter(|_| time_left >= MIN_TIME_LEFT) else {
-            self.update_server(|s| s.connections.check_in(conn, sent_at));
-            let why = if server.is_none() { NotRunCode::Leaving } else { NotRunCode::TooLate };
-            return Ok(SendOutcome::new(SendResult::Unsent(why)));
+        let (server, permit) = match self.permitted_server(&view, time_left, sent_at) {
+            Ok(permitted) => permitted,
+            Err(why) => {
+                self.check_in(conn, sent_at);
+                return Ok(SendOutcome::new(SendResult::Unsent(why)));
+            }
         };
         let req = self.build_request(&server.report.id, time_left);
-        let dispatched = attempt.dispatch();
+        let dispatched = attempt.dispatch(permit);
         self.request.dispatch_times.record(self.shard, sent_at);
         let answer = async {
             let res = conn.sender.try_send_request(req).await;
@@ -323,13 +330,43 @@
                 conn.idle_limit = head.idle_timeout.or(conn.idle_limit);
                 let outcome = self.evaluate_reply(attempt, reply, head, now.since(sent_at));
                 if outcome.result != SendResult::Failed(Fault::Truncated) {
-                    self.update_server(|s| s.connections.check_in(conn, now));
+                    self.check_in(conn, now);
                 }
                 Ok(outcome)
             }
         }
     }
 
+    /// Permits one request to the server, by what it asked for.
+    fn permit(&self, now: Tick) -> Result<SendPermit, NotRunCode> {
+        self.tier
+            .servers
+            .with_or_insert(self.key, ServerState::default, |s| s.stats.notices.permit(now))
+    }
+
+    /// Returns the server and the permit to send to it, or why it is sent nothing.
+    fn permitted_server<'v>(
+        &self,
+        view: &'v TopologyView,
+        time_left: Duration,
+        now: Tick,
+    ) -> Result<(&'v Server, SendPermit), NotRunCode> {
+        let server = view.available_server(self.key).ok_or(NotRunCode::Leaving)?;
+        if time_left < MIN_TIME_LEFT {
+            return Err(NotRunCode::TooLate);
+        }
+        Ok((server, self.permit(now)?))
+    }
+
+    /// Returns a connection to the pool, or closes it if the server is draining.
+    fn check_in(&self, conn: Connection, now: Tick) {
+        self.update_server(|s| {
+            if !s.stats.notices.is_draining() {
+                s.connections.check_in(conn, now);
+            }
+        });
+    }
+
     /// Logs a reply that is not known to be this request's; its connection is closed.
     fn log_foreign_reply(
         &self,
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -13,13 +13,16 @@
 use crate::coordination::latency_histogram::LatencyHistogram;
 use crate::coordination::lifecycle::StopOptions;
 use crate::coordination::limiter::Limiter;
+use crate::coordination::reachability;
 use crate::coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
+use crate::coordination::return_times::ReturnTimes;
 use crate::coordination::round_robin::WeightedRoundRobin;
-use crate::coordination::server_stats::ServerStats;
+use crate::coordination::server_notices::{Availability, Notice, NoticeMemory, RunId};
+use crate::coordination::server_stats::{RunReport, ServerStats};
 use crate::coordination::shares::{self, Role};
 use crate::coordination::sliding_window::SlidingWindow;
 use crate::coordination::warming::Warming;
-use crate::protocol::codec::ServerCodec;
+use crate::protocol::codec::{ResponseHead, ServerCodec};
 use crate::state::arena::{PoolKey, RouteKey, ServerKey};
 use crate::state::name_interner::NameInterner;
 use crate::state::routes::RouteTable;
@@ -105,6 +108,8 @@
 pub(crate) struct ServerState {
     pub(crate) stats: ServerStats,
     pub(crate) connections: ConnectionPool,
+    /// Whether an invalid time in its refusals was logged.
+    pub(crate) logged_invalid_backoff: bool,
 }
 
 /// The statistics and limits of a route.
@@ -114,6 +119,7 @@
     pub(crate) longest_wait: Duration,
     pub(crate) limiter: Limiter,
     pub(crate) recent_requests: SlidingWindow,
+    pub(crate) return_times: ReturnTimes,
 }
 
 impl Default for RouteStats {
@@ -124,6 +130,7 @@
             longest_wait: Duration::ZERO,
             limiter: Limiter::default(),
             recent_requests: SlidingWindow::new(RECENT_WINDOW),
+            return_times: ReturnTimes::default(),
         }
     }
 }
@@ -155,6 +162,7 @@
     warming: Mutex<Warming>,
     pub(crate) spread: Mutex<Spread>,
     shards_in_flight: AtomicUsize,
+    notices: Mutex<NoticeMemory>,
 }
 
 impl Tier {
@@ -184,6 +192,7 @@
             warming: Mutex::default(),
             spread: Mutex::default(),
             shards_in_flight: AtomicUsize::new(0),
+            notices: Mutex::default(),
         }
     }
 
@@ -341,6 +350,7 @@
         let changed = update(&mut topology, self.now());
         if changed {
             let view = Arc::new(topology.view().clone());
+            self.restore_notices(&self.view(), &view);
             *self.view.write() = view.clone();
             drop(topology);
             self.servers.retain(|key| view.server(key).is_some());
@@ -348,6 +358,65 @@
         changed
     }
 
+    /// Restores what runs asked for before they were removed and listed again.
+    fn restore_notices(&self, before: &TopologyView, view: &TopologyView) {
+        let mut notices = self.notices.lock();
+        notices.forget(self.now());
+        if notices.is_empty() {
+            return;
+        }
+        for (key, server) in view.servers().filter(|(key, _)| before.server(*key).is_none()) {
+            if let Some(known) = notices.get(&RunId::from(&server.report)) {
+                self.servers.with_or_insert(key, ServerState::default, |s| s.stats.notices = known);
+            }
+        }
+    }
+
+    /// Records what the head of a server's reply reports about its run; returns whether it asks for something new.
+    pub(crate) fn record_run(
+        &self,
+        key: ServerKey,
+        server: &Server,
+        head: &ResponseHead,
+        now: Tick,
+    ) -> bool {
+        let cold_duration = self.view().server_limits(server).cold_duration;
+        let notice = Notice { draining: head.draining, backoff: head.backoff };
+        let run = RunReport { boot_id: head.boot_id, held: head.held, notice };
+        let changed = self.servers.with_or_insert(key, ServerState::default, |s| {
+            let changed = s.stats.record_run(run, cold_duration, now);
+            if changed && s.stats.notices.is_draining() {
+                s.connections.close_idle();
+            }
+            if changed {
+                s.connections.wake_waiter();
+            }
+            changed.then_some(s.stats.notices)
+        });
+        let Some(notices) = changed else { return false };
+        if let Err(why) = notices.permit(now) {
+            self.metrics.notices.with_label_values(&[why.as_str()]).inc();
+        }
+        self.notices.lock().record(RunId::from(&server.report), notices, now);
+        true
+    }
+
+    /// Returns when a request to one server of each of `pools` can be answered at the earliest.
+    pub(crate) fn available_from(
+        &self,
+        pools: &[PoolKey],
+        min_shard_ratio: f64,
+        view: &TopologyView,
+        now: Tick,
+    ) -> Availability {
+        let has_notices = !self.notices.lock().is_empty();
+        reachability::available_from(pools, min_shard_ratio, view, |key| {
+            let of_server = |s: &mut ServerState| s.stats.notices.availability(now);
+            let known = has_notices.then(|| self.servers.with(key, of_server)).flatten();
+            known.unwrap_or(Availability::Now)
+        })
+    }
+
     /// Replaces the routes if the table is newer.
     pub fn update_routes(&self, table: RouteTable) {
         let (version, routes) = (table.version, table.routes.len());
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -1,6 +1,9 @@
 //! Attempts: which answers are accepted, and when a request is known not to have run.
 
+mod support;
+
 use bytes::Bytes;
+use support::permit;
 use tamarackdeck::{
     Attempt, ConnectionUse, Dispatched, Fault, Label, NotRunCode, Outcome, RawAnswer, Replied,
     Snapshot, SnapshotRange, UpstreamRefusal, parse_label,
@@ -11,7 +14,7 @@
 }
 
 fn dispatched() -> Attempt<Dispatched> {
-    Attempt::new(label().to_string()).dispatch()
+    Attempt::new(label().to_string()).dispatch(permit())
 }
 
 fn replied() -> Attempt<Replied> {
@@ -162,11 +165,11 @@
     }
     for fault in [Fault::Lost, Fault::Timeout, Fault::Upstream] {
         assert_eq!(
-            Attempt::new(label().to_string()).dispatch().fail(fault),
+            Attempt::new(label().to_string()).dispatch(permit()).fail(fault),
             Outcome::<Bytes>::Unknown(fault)
         );
     }
-    let back = Attempt::new(label().to_string()).dispatch().into_pending();
+    let back = Attempt::new(label().to_string()).dispatch(permit()).into_pending();
     assert!(
         matches!(back.refuse(NotRunCode::NotConnected), Outcome::<Bytes>::NotRun(_)),
         "an attempt returned unsent may be refused"
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use support::seeds;
+use support::{permit, seeds};
 use tamarackdeck::{
     Attempt, Claim, ClaimAction, ConnectionUse, Fault, Label, NotRunCode, Outcome, RawAnswer, Step,
     WriteOutcome, settle_claim, step_after_create, step_after_read,
@@ -162,11 +162,12 @@
             RawAnswer { stated_length: Some(2), received_length: 2, answer: Bytes::from("ok") };
         match self.rng.random_range(0..4) {
             0 => (attempt.refuse(NotRunCode::NotConnected), false),
-            1 => (attempt.dispatch().fail(Fault::Lost), false),
-            2 => (attempt.dispatch().fail(Fault::Timeout), true),
+            1 => (attempt.dispatch(permit()).fail(Fault::Lost), false),
+            2 => (attempt.dispatch(permit()).fail(Fault::Timeout), true),
             _ => {
                 let label = Label::default().to_string();
-                let replied = attempt.dispatch().identify(Some(&label), ConnectionUse::Reused);
+                let replied =
+                    attempt.dispatch(permit()).identify(Some(&label), ConnectionUse::Reused);
                 (replied.unwrap().complete(raw), true)
             }
         }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! Helpers shared by several test files.
 #![allow(dead_code)]
 
-use tamarackdeck::Tick;
+use tamarackdeck::{SendPermit, ServerNotices, Tick};
 
 /// Returns the seeds of a randomized test: `default_count` fixed ones, or those that `SEEDS` gives as a list
 /// (`SEEDS=7,12`) or as a count (`SEEDS=x500`).
@@ -19,3 +19,8 @@
 pub fn ms(n: u64) -> Tick {
     Tick(n * 1_000)
 }
+
+/// Returns the permit to send to a server that asked for nothing.
+pub fn permit() -> SendPermit {
+    ServerNotices::default().permit(Tick::default()).expect("it asked for nothing")
+}
