Divided requests are not answered below the minimum ratio of shards

Callers could get a 200 with fewer parts than minShardRatio asks for, from a request that was divided among gatherers: 38 of 90 parts where 45 are required.

Cause: an invariant checked on one of two paths. gather_ranges compared the missing shards with the allowed ones only when a range failed. If a range failed that was smaller than what may be missing, and ranges that were gathered after it left out further shards, nobody compared again, and the answer went out. It takes ranges smaller than what may be missing: a low ratio, or a domain with many gatherers (ten ranges of 30 out of 300 shards beside a ratio of 0.85).

Ruled out: the other order (the failed range ends last) was checked; ranges that all succeed can not fall below the ratio, since each keeps to it.

The decision moves to coordination/division.rs, without input or output: RangeProgress counts how ranges end and says when to answer or to give up, whichever way a range ended. transport only drives it.

--- a/src/coordination/division.rs
+++ b/src/coordination/division.rs
@@ -6,11 +6,14 @@
 //! and a gatherer always has the same range, so that its connections are used more often.
 
 use std::ops::Range;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 
 use crate::coordination::gatherers::{GatherContext, domain_gatherers, is_near, is_warm};
+use crate::coordination::scatter::required_shards;
 use crate::state::members::Member;
+use crate::state::time::Tick;
 
 /// Shards of a range below which its message costs the sender more than the range saves.
 const MIN_RANGE: usize = 30;
@@ -68,3 +71,89 @@
     let start = |n: usize| shard_count * n / count;
     (0..count).map(|n| start(n)..start(n + 1)).collect()
 }
+
+/// How a range of a divided request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RangeEnd {
+    /// It was gathered.
+    Gathered {
+        /// Number of its shards without a part.
+        missing: usize,
+    },
+    /// No server has run it, and none will.
+    NotRun {
+        /// Time after which to retry.
+        retry_after: Duration,
+    },
+    /// It failed, and some server may have run it.
+    GivenUp {
+        /// Its deadline had passed.
+        late: bool,
+    },
+}
+
+/// What to do for the caller of a divided request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RangesDecision {
+    /// Keep waiting.
+    Wait,
+    /// Answer with the ranges that were gathered.
+    Answer,
+    /// Give up without an answer; some server may have run the request.
+    GiveUp {
+        /// The range that put the minimum ratio of shards out of reach had passed its deadline.
+        late: bool,
+    },
+}
+
+/// The ranges of a divided request, as they end.
+#[derive(Clone, Debug)]
+pub struct RangeProgress {
+    soft_deadline: Tick,
+    max_missing: usize,
+    /// Number of shards in ranges that have not ended.
+    awaited: usize,
+    /// Number of shards without a part in ranges that have ended.
+    missing: usize,
+    late: bool,
+}
+
+impl RangeProgress {
+    /// Starts with all `shard_count` shards awaited; from `soft_deadline` on, the minimum ratio of shards is enough.
+    pub fn new(shard_count: usize, min_shard_ratio: f64, soft_deadline: Tick) -> Self {
+        let max_missing = shard_count - required_shards(min_shard_ratio, shard_count);
+        Self { soft_deadline, max_missing, awaited: shard_count, missing: 0, late: false }
+    }
+
+    /// Records how a range of `len` shards ended.
+    pub fn record(&mut self, len: usize, end: RangeEnd) {
+        self.awaited -= len;
+        self.missing += match end {
+            RangeEnd::Gathered { missing } => missing,
+            RangeEnd::NotRun { .. } | RangeEnd::GivenUp { .. } => len,
+        };
+        self.late = matches!(end, RangeEnd::GivenUp { late: true });
+    }
+
+    /// Returns what to do for the caller.
+    pub fn decision(&self, now: Tick) -> RangesDecision {
+        let is_final = self.awaited == 0 || now >= self.soft_deadline;
+        if self.missing > self.max_missing {
+            RangesDecision::GiveUp { late: self.late }
+        } else if is_final && self.missing_now() <= self.max_missing {
+            RangesDecision::Answer
+        } else {
+            RangesDecision::Wait
+        }
+    }
+
+    /// Returns when the decision may change although no range ends.
+    pub fn next_wake(&self, now: Tick) -> Option<Tick> {
+        Some(self.soft_deadline).filter(|at| *at > now)
+    }
+
+    /// Returns the number of shards without a part in an answer that is given now.
+    pub fn missing_now(&self) -> usize {
+        self.missing + self.awaited
+    }
+}
--- a/src/transport/callers/divide.rs
+++ b/src/transport/callers/divide.rs
@@ -1,16 +1,15 @@
 //! Sharded requests that are divided among the gatherers of a failure domain.
 
 use std::ops::Range;
-use std::pin::pin;
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use hyper::header::HeaderValue;
 use rand::RngExt;
 
-use crate::coordination::division::Division;
+use crate::coordination::division::{Division, RangeEnd, RangeProgress, RangesDecision};
 use crate::coordination::gatherers::GatherRefusal;
-use crate::coordination::{scatter, top_records};
+use crate::coordination::top_records;
 use crate::protocol::codec::{CallerCodec, DeclineReason};
 use crate::state::members::Member;
 use crate::state::routes::{Route, ScatterGather};
@@ -56,38 +55,35 @@
     async fn gather_ranges(&self, divided: Divided<'_>) -> Result<GatheredParts, DeclineReason> {
         let Divided { division, gathering, job, .. } = divided;
         let shard_count = gathering.shards.len();
-        let max_missing =
-            shard_count - scatter::required_shards(gathering.min_shard_ratio, shard_count);
+        let soft_deadline = job.opts.soft_deadline;
+        let mut progress =
+            RangeProgress::new(shard_count, gathering.min_shard_ratio, soft_deadline);
         let ranges = division.ranges.iter().enumerate();
         let mut ranges: FuturesUnordered<_> = ranges
             .map(|(index, shards)| async move {
                 (shards.len(), self.gather_range(divided, index, shards.clone()).await)
             })
             .collect();
-        let (mut gathered, mut missing, mut awaited) = (Vec::new(), 0, shard_count);
-        let mut soft_deadline = pin!(self.tier.clock.sleep_until(job.opts.soft_deadline));
-        let mut is_due = false;
-        while awaited > 0 && !(is_due && missing + awaited <= max_missing) {
-            let (len, result) = tokio::select! {
-                Some(range) = ranges.next() => range,
-                () = &mut soft_deadline, if !is_due => {
-                    is_due = true;
-                    continue;
+        let mut gathered = Vec::new();
+        loop {
+            let now = self.tier.now();
+            match progress.decision(now) {
+                RangesDecision::Answer => {
+                    return Ok(self.merge_ranges(gathering, &gathered, progress.missing_now()));
                 }
-            };
-            awaited -= len;
-            missing += result.as_ref().map_or(len, |parts| parts.missing);
-            match result {
-                Ok(parts) => gathered.push(parts),
-                Err(DeclineReason::TimedOut) if missing > max_missing => {
-                    return Err(DeclineReason::TimedOut);
+                RangesDecision::GiveUp { late: true } => return Err(DeclineReason::TimedOut),
+                RangesDecision::GiveUp { late: false } => return Err(DeclineReason::Failed),
+                RangesDecision::Wait => {}
+            }
+            let wake = progress.next_wake(now);
+            tokio::select! {
+                Some((len, result)) = ranges.next() => {
+                    progress.record(len, range_end(&result));
+                    gathered.extend(result);
                 }
-                // the other ranges may have run
-                Err(_) if missing > max_missing => return Err(DeclineReason::Failed),
-                Err(_) => {}
+                () = self.tier.clock.sleep_until(wake.unwrap_or_default()), if wake.is_some() => {}
             }
         }
-        Ok(self.merge_ranges(gathering, &gathered, missing + awaited))
     }
 
     fn merge_ranges(
@@ -133,3 +129,11 @@
         }
     }
 }
+
+fn range_end(result: &Result<GatheredParts, DeclineReason>) -> RangeEnd {
+    match result {
+        Ok(parts) => RangeEnd::Gathered { missing: parts.missing },
+        Err(DeclineReason::NotRun { after }) => RangeEnd::NotRun { retry_after: *after },
+        Err(reason) => RangeEnd::GivenUp { late: *reason == DeclineReason::TimedOut },
+    }
+}
--- a/tests/division.rs
+++ b/tests/division.rs
@@ -7,8 +7,10 @@
 use indexmap::IndexMap;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use support::seeds;
-use tamarackdeck::{Division, GatherContext, InstanceId, Member};
+use support::{ms, seeds};
+use tamarackdeck::{
+    Division, GatherContext, InstanceId, Member, RangeEnd, RangeProgress, RangesDecision,
+};
 
 fn member((name, domain, power): &(&str, &str, u32)) -> Member {
     let addr = "127.0.0.1:9".parse().unwrap();
@@ -154,6 +156,94 @@
     }
 }
 
+/// How the ranges of a request end, one after the other.
+struct EndCase {
+    name: &'static str,
+    min_shard_ratio: f64,
+    /// The number of shards of each range that ends, when it ends, in milliseconds, and how.
+    ends: &'static [(usize, u64, RangeEnd)],
+    /// The first decision that is not to wait, and when, in milliseconds.
+    decision: (RangesDecision, u64),
+}
+
+/// Shards of the request of an [`EndCase`].
+const END_SHARDS: usize = 90;
+/// Its soft deadline, in milliseconds.
+const END_SOFT: u64 = 100;
+const WHOLE: RangeEnd = RangeEnd::Gathered { missing: 0 };
+const FAILED: RangeEnd = RangeEnd::GivenUp { late: false };
+const LATE: RangeEnd = RangeEnd::GivenUp { late: true };
+
+const ENDS: &[EndCase] = &[
+    EndCase {
+        name: "all ranges are whole",
+        min_shard_ratio: 0.95,
+        ends: &[(30, 40, WHOLE), (30, 50, WHOLE), (30, 60, WHOLE)],
+        decision: (RangesDecision::Answer, 60),
+    },
+    EndCase {
+        name: "a range that is not needed is not waited for after the soft deadline",
+        min_shard_ratio: 0.5,
+        ends: &[(30, 40, WHOLE), (30, 50, WHOLE), (30, 160, WHOLE)],
+        decision: (RangesDecision::Answer, END_SOFT),
+    },
+    EndCase {
+        name: "a range that is needed is waited for",
+        min_shard_ratio: 0.95,
+        ends: &[(30, 40, WHOLE), (30, 50, WHOLE), (30, 160, WHOLE)],
+        decision: (RangesDecision::Answer, 160),
+    },
+    EndCase {
+        name: "a failed range puts the ratio out of reach",
+        min_shard_ratio: 0.95,
+        ends: &[(30, 40, WHOLE), (30, 50, FAILED)],
+        decision: (RangesDecision::GiveUp { late: false }, 50),
+    },
+    EndCase {
+        name: "a range passes its deadline",
+        min_shard_ratio: 0.95,
+        ends: &[(30, 40, WHOLE), (30, 500, LATE)],
+        decision: (RangesDecision::GiveUp { late: true }, 500),
+    },
+    EndCase {
+        name: "parts that gathered ranges leave out after a failed one put the ratio out of reach",
+        min_shard_ratio: 0.5,
+        ends: &[
+            (30, 40, FAILED),
+            (30, 50, RangeEnd::Gathered { missing: 10 }),
+            (30, 60, RangeEnd::Gathered { missing: 10 }),
+        ],
+        decision: (RangesDecision::GiveUp { late: false }, 60),
+    },
+];
+
+/// Replays a case; returns the first decision that is not to wait, and when.
+fn first_decision(case: &EndCase) -> (RangesDecision, u64) {
+    let mut progress = RangeProgress::new(END_SHARDS, case.min_shard_ratio, ms(END_SOFT));
+    let mut ends = case.ends.iter();
+    let (mut next, mut now) = (ends.next(), ms(0));
+    loop {
+        let decision = progress.decision(now);
+        if decision != RangesDecision::Wait {
+            return (decision, now.0 / 1_000);
+        }
+        let wake = progress.next_wake(now);
+        let end_at = next.map(|(_, at, _)| ms(*at));
+        now = end_at.into_iter().chain(wake).min().expect("waits for nothing");
+        if let Some((len, _, end)) = next.filter(|_| end_at == Some(now)) {
+            progress.record(*len, *end);
+            next = ends.next();
+        }
+    }
+}
+
+#[test]
+fn a_divided_request_ends_as_its_ranges_allow() {
+    for case in ENDS {
+        assert_eq!(first_decision(case), case.decision, "{}", case.name);
+    }
+}
+
 /// Requests on gatherers whose processors are slower than those that they were sized for.
 struct LoadCase {
     name: &'static str,
