A divided request that no gatherer has run is refused as not run

Callers got 502 without Retry-After for a divided request although each of its ranges had ended as not run. They could not know that it may be sent again, nor when: a common client comes back at once, to servers that asked for time.

Cause: the outcome of the parts was lost when they were put together; whatever put the minimum ratio of shards out of reach became "may have run", and the first refused range ended the request while the refusals of the others were on their way. Class: known outcomes reported as unknown.

RangeProgress now keeps whether a range that ended may have run. When a refused range puts the ratio out of reach, the others have 20 ms to be refused too, which is the round trip of a link between failure domains with a margin. If all are, the request is refused with the longest time that they asked for. A range that may have run, or that has not ended by then, leaves the outcome unknown: 502.

Evidence: tests/division.rs, "all ranges are refused, and the request with them", gave GiveUp after 1 ms before and Refuse with 200 ms after 12 ms now; the cases beside it hold the unknown outcomes at 502. By decisions only: without notices of servers a gatherer refuses a range as not run only if none of its shards has a server, which a process test can not bring about for all ranges.

--- a/src/coordination/division.rs
+++ b/src/coordination/division.rs
@@ -17,6 +17,9 @@
 
 /// Shards of a range below which its message costs the sender more than the range saves.
 const MIN_RANGE: usize = 30;
+/// Time that the other ranges have to be refused too, after a refused one put the minimum ratio of shards out of reach. A
+/// refusal is sent before any dispatch, so it takes the round trip of a link, at most that between failure domains.
+const REFUSAL_GRACE: Duration = Duration::from_millis(20);
 
 /// A request divided into ranges of shards, one for each gatherer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -99,6 +102,11 @@
     Wait,
     /// Answer with the ranges that were gathered.
     Answer,
+    /// Refuse the request: no server has run it, and none will.
+    Refuse {
+        /// Time after which all ranges may be tried again.
+        retry_after: Duration,
+    },
     /// Give up without an answer; some server may have run the request.
     GiveUp {
         /// The range that put the minimum ratio of shards out of reach had passed its deadline.
@@ -115,31 +123,60 @@
     awaited: usize,
     /// Number of shards without a part in ranges that have ended.
     missing: usize,
+    /// Whether some server may have run a range that has ended.
+    ran: bool,
     late: bool,
+    /// The longest time that refused ranges asked for.
+    retry_after: Duration,
+    /// When ranges that ended put the minimum ratio of shards out of reach.
+    out_of_reach_at: Option<Tick>,
 }
 
 impl RangeProgress {
     /// Starts with all `shard_count` shards awaited; from `soft_deadline` on, the minimum ratio of shards is enough.
     pub fn new(shard_count: usize, min_shard_ratio: f64, soft_deadline: Tick) -> Self {
-        let max_missing = shard_count - required_shards(min_shard_ratio, shard_count);
-        Self { soft_deadline, max_missing, awaited: shard_count, missing: 0, late: false }
+        Self {
+            soft_deadline,
+            max_missing: shard_count - required_shards(min_shard_ratio, shard_count),
+            awaited: shard_count,
+            missing: 0,
+            ran: false,
+            late: false,
+            retry_after: Duration::ZERO,
+            out_of_reach_at: None,
+        }
     }
 
     /// Records how a range of `len` shards ended.
-    pub fn record(&mut self, len: usize, end: RangeEnd) {
+    pub fn record(&mut self, len: usize, end: RangeEnd, now: Tick) {
         self.awaited -= len;
+        self.late = matches!(end, RangeEnd::GivenUp { late: true });
+        self.ran |= !matches!(end, RangeEnd::NotRun { .. });
         self.missing += match end {
             RangeEnd::Gathered { missing } => missing,
-            RangeEnd::NotRun { .. } | RangeEnd::GivenUp { .. } => len,
+            RangeEnd::GivenUp { .. } => len,
+            RangeEnd::NotRun { retry_after } => {
+                self.retry_after = self.retry_after.max(retry_after);
+                len
+            }
         };
-        self.late = matches!(end, RangeEnd::GivenUp { late: true });
+        if self.missing > self.max_missing {
+            self.out_of_reach_at.get_or_insert(now);
+        }
     }
 
     /// Returns what to do for the caller.
     pub fn decision(&self, now: Tick) -> RangesDecision {
         let is_final = self.awaited == 0 || now >= self.soft_deadline;
-        if self.missing > self.max_missing {
-            RangesDecision::GiveUp { late: self.late }
+        if let Some(give_up_at) = self.give_up_at() {
+            if self.awaited == 0 && !self.ran {
+                RangesDecision::Refuse { retry_after: self.retry_after }
+            } else if self.ran || now >= give_up_at {
+                // a range that has not ended may have run
+                RangesDecision::GiveUp { late: self.late }
+            } else {
+                RangesDecision::Wait
+            }
         } else if is_final && self.missing_now() <= self.max_missing {
             RangesDecision::Answer
         } else {
@@ -149,7 +186,13 @@
 
     /// Returns when the decision may change although no range ends.
     pub fn next_wake(&self, now: Tick) -> Option<Tick> {
-        Some(self.soft_deadline).filter(|at| *at > now)
+        let soft_deadline = Some(self.soft_deadline).filter(|at| *at > now);
+        self.give_up_at().or(soft_deadline)
+    }
+
+    /// Returns when the request is given up, if the minimum ratio of shards is out of reach.
+    fn give_up_at(&self) -> Option<Tick> {
+        self.out_of_reach_at.map(|at| at + REFUSAL_GRACE)
     }
 
     /// Returns the number of shards without a part in an answer that is given now.
--- a/src/transport/callers/divide.rs
+++ b/src/transport/callers/divide.rs
@@ -71,6 +71,9 @@
                 RangesDecision::Answer => {
                     return Ok(self.merge_ranges(gathering, &gathered, progress.missing_now()));
                 }
+                RangesDecision::Refuse { retry_after } => {
+                    return Err(DeclineReason::NotRun { after: retry_after });
+                }
                 RangesDecision::GiveUp { late: true } => return Err(DeclineReason::TimedOut),
                 RangesDecision::GiveUp { late: false } => return Err(DeclineReason::Failed),
                 RangesDecision::Wait => {}
@@ -78,7 +81,7 @@
             let wake = progress.next_wake(now);
             tokio::select! {
                 Some((len, result)) = ranges.next() => {
-                    progress.record(len, range_end(&result));
+                    progress.record(len, range_end(&result), self.tier.now());
                     gathered.extend(result);
                 }
                 () = self.tier.clock.sleep_until(wake.unwrap_or_default()), if wake.is_some() => {}
--- a/tests/division.rs
+++ b/tests/division.rs
@@ -174,6 +174,10 @@
 const FAILED: RangeEnd = RangeEnd::GivenUp { late: false };
 const LATE: RangeEnd = RangeEnd::GivenUp { late: true };
 
+const fn refused(retry_after_ms: u64) -> RangeEnd {
+    RangeEnd::NotRun { retry_after: Duration::from_millis(retry_after_ms) }
+}
+
 const ENDS: &[EndCase] = &[
     EndCase {
         name: "all ranges are whole",
@@ -215,6 +219,36 @@
         ],
         decision: (RangesDecision::GiveUp { late: false }, 60),
     },
+    EndCase {
+        name: "all ranges are refused, and the request with them",
+        min_shard_ratio: 0.95,
+        ends: &[(30, 1, refused(60)), (30, 3, refused(200)), (30, 12, refused(60))],
+        decision: (RangesDecision::Refuse { retry_after: Duration::from_millis(200) }, 12),
+    },
+    EndCase {
+        name: "a range is refused while others may run",
+        min_shard_ratio: 0.95,
+        ends: &[(30, 1, refused(60)), (30, 90, WHOLE)],
+        decision: (RangesDecision::GiveUp { late: false }, 21),
+    },
+    EndCase {
+        name: "a range is refused after another one was gathered",
+        min_shard_ratio: 0.95,
+        ends: &[(30, 5, WHOLE), (30, 10, refused(60))],
+        decision: (RangesDecision::GiveUp { late: false }, 10),
+    },
+    EndCase {
+        name: "a range fails after another one was refused",
+        min_shard_ratio: 0.95,
+        ends: &[(30, 1, refused(60)), (30, 4, FAILED)],
+        decision: (RangesDecision::GiveUp { late: false }, 4),
+    },
+    EndCase {
+        name: "a refused range that is not needed",
+        min_shard_ratio: 0.5,
+        ends: &[(30, 1, refused(60)), (30, 50, WHOLE), (30, 60, WHOLE)],
+        decision: (RangesDecision::Answer, 60),
+    },
 ];
 
 /// Replays a case; returns the first decision that is not to wait, and when.
@@ -231,7 +265,7 @@
         let end_at = next.map(|(_, at, _)| ms(*at));
         now = end_at.into_iter().chain(wake).min().expect("waits for nothing");
         if let Some((len, _, end)) = next.filter(|_| end_at == Some(now)) {
-            progress.record(*len, *end);
+            progress.record(*len, *end, now);
             next = ends.next();
         }
     }
