--- a/src/coordination/division.rs
+++ b/src/coordination/division.rs
@@ -6,14 +6,20 @@
 //! and a gatherer always has the same range, so that its connections are used more often.
 
 use std::ops::Range;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 
 use crate::coordination::gatherers::{GatherContext, domain_gatherers, is_near, is_warm};
+use crate::coordination::scatter::required_shards;
 use crate::state::members::Member;
+use crate::state::time::Tick;
 
 /// Shards of a range below which its message costs the sender more than the range saves.
 const MIN_RANGE: usize = 30;
+/// Time that the other ranges have to be refused too, after a refused one put the minimum ratio of shards out of reach. A
+/// refusal is sent before any dispatch, so it takes the round trip of a link, at most that between failure domains.
+const REFUSAL_GRACE: Duration = Duration::from_millis(20);
 
 /// A request divided into ranges of shards, one for each gatherer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -68,3 +74,129 @@
     let start = |n: usize| shard_count * n / count;
     (0..count).map(|n| start(n)..start(n + 1)).collect()
 }
+
+/// How a range of a divided request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RangeEnd {
+    /// It was gathered.
+    Gathered {
+        /// Number of its shards without a part.
+        missing: usize,
+    },
+    /// No server has run it, and none will.
+    NotRun {
+        /// Time after which to retry.
+        retry_after: Duration,
+    },
+    /// It failed, and some server may have run it.
+    GivenUp {
+        /// Its deadline had passed.
+        late: bool,
+    },
+}
+
+/// What to do for the caller of a divided request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RangesDecision {
+    /// Keep waiting.
+    Wait,
+    /// Answer with the ranges that were gathered.
+    Answer,
+    /// Refuse the request: no server has run it, and none will.
+    Refuse {
+        /// Time after which all ranges may be tried again.
+        retry_after: Duration,
+    },
+    /// Give up without an answer; some server may have run the request.
+    GiveUp {
+        /// The range that put the minimum ratio of shards out of reach had passed its deadline.
+        late: bool,
+    },
+}
+
+/// The ranges of a divided request, as they end.
+#[derive(Clone, Debug)]
+pub struct RangeProgress {
+    soft_deadline: Tick,
+    max_missing: usize,
+    /// Number of shards in ranges that have not ended.
+    awaited: usize,
+    /// Number of shards without a part in ranges that have ended.
+    missing: usize,
+    /// Whether some server may have run a range that has ended.
+    ran: bool,
+    late: bool,
+    /// The longest time that refused ranges asked for.
+    retry_after: Duration,
+    /// When ranges that ended put the minimum ratio of shards out of reach.
+    out_of_reach_at: Option<Tick>,
+}
+
+impl RangeProgress {
+    /// Starts with all `shard_count` shards awaited; from `soft_deadline` on, the minimum ratio of shards is enough.
+    pub fn new(shard_count: usize, min_shard_ratio: f64, soft_deadline: Tick) -> Self {
+        Self {
+            soft_deadline,
+            max_missing: shard_count - required_shards(min_shard_ratio, shard_count),
+            awaited: shard_count,
+            missing: 0,
+            ran: false,
+            late: false,
+            retry_after: Duration::ZERO,
+            out_of_reach_at: None,
+        }
+    }
+
+    /// Records how a range of `len` shards ended.
+    pub fn record(&mut self, len: usize, end: RangeEnd, now: Tick) {
+        self.awaited -= len;
+        self.late = matches!(end, RangeEnd::GivenUp { late: true });
+        self.ran |= !matches!(end, RangeEnd::NotRun { .. });
+        self.missing += match end {
+            RangeEnd::Gathered { missing } => missing,
+            RangeEnd::GivenUp { .. } => len,
+            RangeEnd::NotRun { retry_after } => {
+                self.retry_after = self.retry_after.max(retry_after);
+                len
+            }
+        };
+        if self.missing > self.max_missing {
+            self.out_of_reach_at.get_or_insert(now);
+        }
+    }
+
+    /// Returns what to do for the caller.
+    pub fn decision(&self, now: Tick) -> RangesDecision {
+        let is_final = self.awaited == 0 || now >= self.soft_deadline;
+        if let Some(give_up_at) = self.give_up_at() {
+            if self.awaited == 0 && !self.ran {
+                RangesDecision::Refuse { retry_after: self.retry_after }
+            } else if self.ran || now >= give_up_at {
+                // a range that has not ended may have run
+                RangesDecision::GiveUp { late: self.late }
+            } else {
+                RangesDecision::Wait
+            }
+        } else if is_final && self.missing_now() <= self.max_missing {
+            RangesDecision::Answer
+        } else {
+            RangesDecision::Wait
+        }
+    }
+
+    /// Returns when the decision may change although no range ends.
+    pub fn next_wake(&self, now: Tick) -> Option<Tick> {
+        let soft_deadline = Some(self.soft_deadline).filter(|at| *at > now);
+        self.give_up_at().or(soft_deadline)
+    }
+
+    /// Returns when the request is given up, if the minimum ratio of shards is out of reach.
+    fn give_up_at(&self) -> Option<Tick> {
+        self.out_of_reach_at.map(|at| at + REFUSAL_GRACE)
+    }
+
+    /// Returns the number of shards without a part in an answer that is given now.
+    pub fn missing_now(&self) -> usize {
+        self.missing + self.awaited
+    }
+}
