--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -18,6 +18,10 @@
 /// The response to a request; `None` closes the connection without a response.
 pub type Answer = Option<Response<Full<Bytes>>>;
 
+/// The other end of the connection that a request came on; an extension of each request.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerAddr(pub SocketAddr);
+
 /// A running server; dropping it closes the listener and all connections immediately.
 pub struct Server {
     pub addr: SocketAddr,
@@ -51,7 +55,7 @@
         loop {
             tokio::select! {
                 accepted = listener.accept() => {
-                    let Ok((stream, _)) = accepted else { continue };
+                    let Ok((stream, peer)) = accepted else { continue };
                     if connections.len() >= max_connections {
                         continue; // over the connection limit: drop the stream, which closes it
                     }
@@ -60,7 +64,8 @@
                     let (handler, number) = (handler.clone(), number);
                     connections.spawn(async move {
                         tokio::time::sleep(setup_delay).await;
-                        let service = service_fn(move |request| {
+                        let service = service_fn(move |mut request: Request<Incoming>| {
+                            request.extensions_mut().insert(PeerAddr(peer));
                             let answer = handler(number, request);
                             async move { answer.await.ok_or_else(|| std::io::Error::other("closed")) }
                         });
