What another server at an address reports is not recorded as the expected server's

A reply with status 421 comes from a server that is not the one whose statistics were updated: its load, its notices and its run were recorded before the refusal was looked at. Class: as in the incident, a message is believed before it is known whose it is. Found by reading; no case shows it, since a server that answers 421 is ejected at once and its entry is replaced: the commit removes the cause, not a failure that was seen. Platform tests pass.

--- a/src/transport/upstreams/outcome.rs
+++ b/src/transport/upstreams/outcome.rs
@@ -52,7 +52,10 @@
         self.update_domain(|d| {
             d.record_answer();
         });
-        self.record_head(&head, now);
+        // what another server at the address reports is not this server's
+        if head.refusal != Some(UpstreamRefusal::Replaced) {
+            self.record_head(&head, now);
+        }
         if let Some(refusal) = head.refusal {
             return self.record_refusal(attempt, refusal, now);
         }
