A range that two gatherers can not reach is refused at once

Callers in a failure domain that was cut from the others waited 120 to 300 ms for a 502 to a divided request: its gatherers refused their ranges because they reach too few shards, and the instance then gathered the ranges itself, by the same lines. What is known not to be served is to be rejected at once, as not run.

RangeRefusals in coordination/division.rs decides from the refusals: two gatherers that are cut refuse the range, and the request with Retry-After 10 ms, as a request that the instance itself knows to be out of reach; otherwise as before.

Evidence: tests/division.rs, table of refusals.

--- a/src/coordination/division.rs
+++ b/src/coordination/division.rs
@@ -10,7 +10,9 @@
 
 use indexmap::IndexMap;
 
-use crate::coordination::gatherers::{GatherContext, domain_gatherers, is_near, is_warm};
+use crate::coordination::gatherers::{
+    GatherContext, GatherRefusal, domain_gatherers, is_near, is_warm,
+};
 use crate::coordination::scatter::required_shards;
 use crate::state::members::Member;
 use crate::state::time::Tick;
@@ -20,6 +22,10 @@
 /// Time that the other ranges have to be refused too, after a refused one put the minimum ratio of shards out of reach. A
 /// refusal is sent before any dispatch, so it takes the round trip of a link, at most that between failure domains.
 const REFUSAL_GRACE: Duration = Duration::from_millis(20);
+/// Maximum number of gatherers that a range is offered to.
+const MAX_REFUSALS: usize = 2;
+/// Retry delay for callers if gatherers reach too few shards; an instance of another failure domain may reach them.
+const RETRY_AFTER_CUT: Duration = Duration::from_millis(10);
 
 /// A request divided into ranges of shards, one for each gatherer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -75,6 +81,54 @@
     (0..count).map(|n| start(n)..start(n + 1)).collect()
 }
 
+/// What to do with a range that is not gathered yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RangeStep {
+    /// Offer it to the next gatherer.
+    Offer,
+    /// Gather it on this instance.
+    GatherHere,
+    /// Refuse it: it is known that too few of its shards are reachable.
+    Refuse {
+        /// Time after which to retry.
+        retry_after: Duration,
+    },
+}
+
+/// The refusals of a range by its gatherers.
+///
+/// The load pattern: a failure domain is cut from the others. Its gatherers notice within half a second, as they send to
+/// all servers; the other members send to few, and would each wait for the same servers in vain.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RangeRefusals {
+    count: usize,
+    cut: usize,
+    no_gatherer_fits: bool,
+}
+
+impl RangeRefusals {
+    /// Records why a gatherer refused the range.
+    pub fn record(&mut self, why: GatherRefusal) {
+        self.count += 1;
+        match why {
+            GatherRefusal::Cut => self.cut += 1,
+            GatherRefusal::Version | GatherRefusal::Unfit => self.no_gatherer_fits = true,
+            GatherRefusal::Late | GatherRefusal::Leaving | GatherRefusal::Busy => {}
+        }
+    }
+
+    /// Returns what to do next.
+    pub fn next_step(&self) -> RangeStep {
+        if self.cut == MAX_REFUSALS {
+            RangeStep::Refuse { retry_after: RETRY_AFTER_CUT }
+        } else if self.no_gatherer_fits || self.count == MAX_REFUSALS {
+            RangeStep::GatherHere
+        } else {
+            RangeStep::Offer
+        }
+    }
+}
+
 /// How a range of a divided request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RangeEnd {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,9 @@
     Attempt, ConnectionUse, Dispatched, Fault, Label, NotRun, NotRunCode, Outcome, Pending,
     RawAnswer, Replied, UpstreamRefusal,
 };
-pub use coordination::division::{Division, RangeEnd, RangeProgress, RangesDecision};
+pub use coordination::division::{
+    Division, RangeEnd, RangeProgress, RangeRefusals, RangeStep, RangesDecision,
+};
 pub use coordination::domain_health::DomainHealth;
 pub use coordination::gatherers::{
     GatherContext, GatherRefusal, Spread, can_take, is_heavy, role, select_gatherers,
--- a/src/transport/callers/divide.rs
+++ b/src/transport/callers/divide.rs
@@ -7,8 +7,9 @@
 use hyper::header::HeaderValue;
 use rand::RngExt;
 
-use crate::coordination::division::{Division, RangeEnd, RangeProgress, RangesDecision};
-use crate::coordination::gatherers::GatherRefusal;
+use crate::coordination::division::{
+    Division, RangeEnd, RangeProgress, RangeRefusals, RangeStep, RangesDecision,
+};
 use crate::coordination::top_records;
 use crate::protocol::codec::{CallerCodec, DeclineReason};
 use crate::state::members::Member;
@@ -18,9 +19,6 @@
 use crate::transport::http::FullResponse;
 use crate::transport::upstreams::run::{Job, run};
 
-/// Maximum number of gatherers that may refuse a range; this instance then gathers it.
-const MAX_REFUSALS: usize = 2;
-
 /// A sharded request as shared by its ranges.
 #[derive(Clone, Copy)]
 struct Divided<'a> {
@@ -102,7 +100,7 @@
         GatheredParts { body, signatures, missing }
     }
 
-    /// Gathers a range at the first gatherer that accepts it, or here.
+    /// Gathers a range at the first gatherer that accepts it, or here, unless gatherers say that too few shards are reachable.
     async fn gather_range(
         &self,
         divided: Divided<'_>,
@@ -110,9 +108,9 @@
         shards: Range<usize>,
     ) -> Result<GatheredParts, DeclineReason> {
         let Divided { division, gathering, route, job, view } = divided;
-        let mut refused = Vec::new();
+        let (mut refusals, mut refused) = (RangeRefusals::default(), Vec::new());
         while let Some(peers) = &self.peers
-            && refused.len() < MAX_REFUSALS
+            && refusals.next_step() == RangeStep::Offer
         {
             let may_gather =
                 |m: &&Member| m.addr != peers.opts.me.addr || self.can_take(shards.len());
@@ -120,10 +118,15 @@
             let Some(Some(gatherer)) = peers.first_gatherer(preferred, &refused) else { break };
             match self.forward(&gatherer, (route, shards.clone()), job, view).await {
                 Ok(result) => return result,
-                Err(GatherRefusal::Version | GatherRefusal::Unfit) => break,
-                Err(_) => refused.push(gatherer.addr()),
+                Err(why) => {
+                    refusals.record(why);
+                    refused.push(gatherer.addr());
+                }
             }
         }
+        if let RangeStep::Refuse { retry_after } = refusals.next_step() {
+            return Err(DeclineReason::NotRun { after: retry_after });
+        }
         let mut job = job.clone();
         job.opts.shards = gathering.shards[shards].to_vec();
         match run(&self.tier, view, job).await {
--- a/tests/division.rs
+++ b/tests/division.rs
@@ -9,7 +9,8 @@
 use rand::{RngExt, SeedableRng};
 use support::{ms, seeds};
 use tamarackdeck::{
-    Division, GatherContext, InstanceId, Member, RangeEnd, RangeProgress, RangesDecision,
+    Division, GatherContext, GatherRefusal, InstanceId, Member, RangeEnd, RangeProgress,
+    RangeRefusals, RangeStep, RangesDecision,
 };
 
 fn member((name, domain, power): &(&str, &str, u32)) -> Member {
@@ -156,6 +157,47 @@
     }
 }
 
+/// Why gatherers refuse a range, one after the other.
+struct RefusalCase {
+    name: &'static str,
+    refusals: &'static [GatherRefusal],
+    step: RangeStep,
+}
+
+const REFUSALS: &[RefusalCase] = &[
+    RefusalCase { name: "none yet", refusals: &[], step: RangeStep::Offer },
+    RefusalCase { name: "a busy one", refusals: &[GatherRefusal::Busy], step: RangeStep::Offer },
+    RefusalCase {
+        name: "two busy ones",
+        refusals: &[GatherRefusal::Busy, GatherRefusal::Busy],
+        step: RangeStep::GatherHere,
+    },
+    RefusalCase {
+        name: "one with other routes",
+        refusals: &[GatherRefusal::Version],
+        step: RangeStep::GatherHere,
+    },
+    RefusalCase {
+        name: "one that is cut may be alone in it",
+        refusals: &[GatherRefusal::Cut, GatherRefusal::Leaving],
+        step: RangeStep::GatherHere,
+    },
+    RefusalCase {
+        name: "a failure domain that is cut",
+        refusals: &[GatherRefusal::Cut, GatherRefusal::Cut],
+        step: RangeStep::Refuse { retry_after: Duration::from_millis(10) },
+    },
+];
+
+#[test]
+fn a_range_that_gatherers_can_not_reach_is_refused() {
+    for case in REFUSALS {
+        let mut refusals = RangeRefusals::default();
+        case.refusals.iter().for_each(|why| refusals.record(*why));
+        assert_eq!(refusals.next_step(), case.step, "{}", case.name);
+    }
+}
+
 /// How the ranges of a request end, one after the other.
 struct EndCase {
     name: &'static str,
