Frames to a peer stay within the size that it accepts

What callers would see: requests forwarded to a gatherer fail all at once, because the link to it is closed.

Cause: up to 256 messages that are ready together share a frame, whatever their size, and a peer closes the link on a frame of more than 8 MiB. Nine requests with bodies of 1 MiB, the default limit, are enough; with smaller bodies it takes more of them at a time.

Ruled out: answers of gatherers (records and signatures of a range, some kilobytes each) and documents (1.4 MB for 4,500 entries of servers at 300 bytes each) stay far below the limit.

Change: a batch that does not fit is halved until it does; the rest follows in further frames. One message above the limit still goes out alone, and closes the link.

Evidence: tests/frames.rs failed before with 'bodies of 1 MiB: frame: size limit exceeded', and passes now.

--- a/src/protocol/frames.rs
+++ b/src/protocol/frames.rs
@@ -43,6 +43,18 @@
     Ok(buf.into())
 }
 
+/// Encodes as many of the messages as fit a frame, at least one; returns their number too.
+fn encode_frame<T: Serialize>(messages: &[T]) -> Result<(usize, Bytes), FrameError> {
+    let mut count = messages.len();
+    loop {
+        let buf = encode_batch(&messages[..count])?;
+        if buf.len() <= MAX_FRAME_BYTES || count == 1 {
+            return Ok((count, buf));
+        }
+        count = count.div_ceil(2);
+    }
+}
+
 /// Decodes a frame into its batch of messages.
 ///
 /// # Errors
@@ -103,14 +115,13 @@
     Out: Serialize + Unpin,
 {
     fn send_batch(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), FrameError>> {
-        if self.batch.is_empty() {
-            return Poll::Ready(Ok(()));
+        while !self.batch.is_empty() {
+            ready!(Pin::new(&mut self.ws).poll_ready(cx))?;
+            let (count, buf) = encode_frame(&self.batch)?;
+            self.batch.drain(..count);
+            self.bytes_sent.fetch_add(buf.len() as u64, Ordering::Relaxed);
+            Pin::new(&mut self.ws).start_send(Message::Binary(buf))?;
         }
-        ready!(Pin::new(&mut self.ws).poll_ready(cx))?;
-        let buf = encode_batch(&self.batch)?;
-        self.batch.clear();
-        self.bytes_sent.fetch_add(buf.len() as u64, Ordering::Relaxed);
-        Pin::new(&mut self.ws).start_send(Message::Binary(buf))?;
         Poll::Ready(Ok(()))
     }
 }
