A range may lack as many shards as its request, and at the soft deadline an even share

Cause: the minimum ratio of a whole was applied to each of its parts. Class: a limit of the whole divided among parts that are loaded unevenly.

Change: coordination/division.rs gives each range three ratios: it fails only beyond what the request may lack; at the soft deadline it is answered with an even share missing, rounded up, and later, rounded down, so that the sum of all ranges is an answer.

--- a/src/coordination/division.rs
+++ b/src/coordination/division.rs
@@ -81,6 +81,31 @@
     (0..count).map(|n| start(n)..start(n + 1)).collect()
 }
 
+/// How many of its shards a range needs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RangeRatios {
+    /// Minimum ratio of shards for an answer: a range may lack as many shards as the whole request, since those that fail
+    /// together, on one machine or in one rack, are often in one range.
+    pub min_shard_ratio: f64,
+    /// Ratio from which the range is answered at the soft deadline, before its other shards have ended: an even share of what
+    /// the whole request may lack, rounded up, since slow shards are spread unevenly and most ranges lack fewer.
+    pub soft_shard_ratio: f64,
+    /// The same once the request is late, rounded down, so that the sum of all ranges is an answer.
+    pub late_shard_ratio: f64,
+}
+
+/// Returns how many of its shards a range of `len` needs, in a request to `shard_count` shards.
+pub fn range_ratios(min_shard_ratio: f64, shard_count: usize, len: usize) -> RangeRatios {
+    let max_missing = shard_count.saturating_sub(required_shards(min_shard_ratio, shard_count));
+    let even_share = (max_missing * len) as f64 / shard_count.max(1) as f64;
+    let ratio = |missing: f64| (len as f64 - missing).max(0.0) / len.max(1) as f64;
+    RangeRatios {
+        min_shard_ratio: ratio(max_missing as f64),
+        soft_shard_ratio: ratio(even_share.ceil()),
+        late_shard_ratio: ratio(even_share.floor()),
+    }
+}
+
 /// What to do with a range that is not gathered yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RangeStep {
--- a/src/coordination/scatter.rs
+++ b/src/coordination/scatter.rs
@@ -16,6 +16,9 @@
 /// Delay before a send that the retry budget did not allow is tried again.
 const BUDGET_RETRY_DELAY: Duration = Duration::from_millis(15);
 
+/// Time after the soft deadline from which an answer is late, so that a few milliseconds more for it do not count.
+const LATE_DELAY: Duration = Duration::from_millis(10);
+
 /// The state that a scatter reads and updates.
 pub trait ScatterContext {
     /// Picks a server for a shard that is not in `avoid`.
@@ -43,7 +46,12 @@
     pub idempotent: bool,
     /// Minimum ratio of shards for an answer, from 0 to 1.
     pub min_shard_ratio: f64,
-    /// Time from which the minimum ratio of shards is enough to answer.
+    /// Ratio of shards that is enough to answer at the soft deadline, if it is above the minimum; the minimum is enough once
+    /// no other shard can answer.
+    pub soft_shard_ratio: f64,
+    /// The same once the answer is late.
+    pub late_shard_ratio: f64,
+    /// Time from which the ratio of shards is enough to answer.
     pub soft_deadline: Tick,
     /// Time at which the request is given up.
     pub hard_deadline: Tick,
@@ -287,7 +295,13 @@
         let (answered, failed, all) =
             (count(ShardState::Answered), count(ShardState::Failed), self.shards.len());
         let required = required_shards(self.opts.min_shard_ratio, all);
-        let is_final = answered + failed == all || now >= self.opts.soft_deadline;
+        let is_late = now >= self.opts.soft_deadline + LATE_DELAY;
+        let soft_ratio =
+            if is_late { self.opts.late_shard_ratio } else { self.opts.soft_shard_ratio };
+        let soft_required = required_shards(soft_ratio, all);
+        let is_final = answered + failed == all
+            || now >= self.opts.hard_deadline
+            || (now >= self.opts.soft_deadline && answered >= soft_required);
         if answered >= required && is_final {
             Decision::Answer
         } else if all - failed < required || now >= self.opts.hard_deadline {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,7 +15,8 @@
     RawAnswer, Replied, UpstreamRefusal,
 };
 pub use coordination::division::{
-    Division, RangeEnd, RangeProgress, RangeRefusals, RangeStep, RangesDecision,
+    Division, RangeEnd, RangeProgress, RangeRatios, RangeRefusals, RangeStep, RangesDecision,
+    range_ratios,
 };
 pub use coordination::domain_health::DomainHealth;
 pub use coordination::gatherers::{
--- a/src/transport/callers/divide.rs
+++ b/src/transport/callers/divide.rs
@@ -8,8 +8,10 @@
 use rand::RngExt;
 
 use crate::coordination::division::{
-    Division, RangeEnd, RangeProgress, RangeRefusals, RangeStep, RangesDecision,
+    Division, RangeEnd, RangeProgress, RangeRatios, RangeRefusals, RangeStep, RangesDecision,
+    range_ratios,
 };
+use crate::coordination::scatter::ScatterOptions;
 use crate::coordination::top_records;
 use crate::protocol::codec::{CallerCodec, DeclineReason};
 use crate::state::members::Member;
@@ -128,7 +130,16 @@
             return Err(DeclineReason::NotRun { after: retry_after });
         }
         let mut job = job.clone();
-        job.opts.shards = gathering.shards[shards].to_vec();
+        let RangeRatios { min_shard_ratio, soft_shard_ratio, late_shard_ratio } =
+            range_ratios(gathering.min_shard_ratio, gathering.shards.len(), shards.len());
+        let shards = gathering.shards[shards].to_vec();
+        job.opts = ScatterOptions {
+            shards,
+            min_shard_ratio,
+            soft_shard_ratio,
+            late_shard_ratio,
+            ..job.opts
+        };
         match run(&self.tier, view, job).await {
             Ok(gathered) => Ok(merge_parts(gathering, &gathered, self.codec.record_size())),
             Err(given_up) => Err(decline_reason(&given_up)),
--- a/src/transport/callers/forward.rs
+++ b/src/transport/callers/forward.rs
@@ -11,6 +11,7 @@
 use hyper::header::HeaderValue;
 use indexmap::IndexMap;
 
+use crate::coordination::division::{RangeRatios, range_ratios};
 use crate::coordination::gatherers::{
     GatherContext, GatherRefusal, can_take, is_heavy, select_gatherers, shards_by_domain,
 };
@@ -178,11 +179,15 @@
             log::warn!(request = request.id.as_str(); "invalid request from a peer: {e:#}");
             GatherRefusal::Unfit
         })?;
+        let RangeRatios { min_shard_ratio, soft_shard_ratio, late_shard_ratio } =
+            range_ratios(gathering.min_shard_ratio, gathering.shards.len(), shards.len());
         let opts = ScatterOptions {
             shards: shards.to_vec(),
             max_attempts: route.max_attempts.max(1),
             idempotent: true,
-            min_shard_ratio: gathering.min_shard_ratio,
+            min_shard_ratio,
+            soft_shard_ratio,
+            late_shard_ratio,
             soft_deadline: now + request.soft.saturating_sub(age),
             hard_deadline: now + request.hard.saturating_sub(age),
         };
--- a/src/transport/callers/proxy.rs
+++ b/src/transport/callers/proxy.rs
@@ -144,6 +144,7 @@
             min_shard_ratio,
             soft_deadline,
             hard_deadline,
+            ..ScatterOptions::default()
         }
     }
 
--- a/src/transport/callers/query.rs
+++ b/src/transport/callers/query.rs
@@ -129,9 +129,9 @@
             shards: map.shards.iter().map(|s| s.pool).collect(),
             max_attempts: MAX_ATTEMPTS,
             idempotent: true,
-            min_shard_ratio: 0.0,
             soft_deadline: soft,
             hard_deadline: hard,
+            ..ScatterOptions::default()
         }
     }
 
@@ -274,6 +274,7 @@
         min_shard_ratio: 1.0,
         soft_deadline: hard,
         hard_deadline: hard,
+        ..ScatterOptions::default()
     };
     let label = Label { request, attempt: 0, shard: shard.name.clone(), snapshot: None };
     let job = new_job(node, entry, request, vec![label.to_string()], body, opts);
--- a/tests/division.rs
+++ b/tests/division.rs
@@ -10,7 +10,7 @@
 use support::{ms, seeds};
 use tamarackdeck::{
     Division, GatherContext, GatherRefusal, InstanceId, Member, RangeEnd, RangeProgress,
-    RangeRefusals, RangeStep, RangesDecision,
+    RangeRatios, RangeRefusals, RangeStep, RangesDecision, Tick, range_ratios,
 };
 
 fn member((name, domain, power): &(&str, &str, u32)) -> Member {
@@ -413,3 +413,132 @@
         }
     }
 }
+
+/// A request to 180 shards in six ranges, of which 9 may be missing. Each shard answers after 50 ms, or, with a
+/// probability, after 50 ms and an exponentially distributed time.
+struct SlowShardsCase {
+    name: &'static str,
+    slow_probability: f64,
+    /// Mean of the time beyond 50 ms, in milliseconds.
+    extra_ms: f64,
+    /// Number of shards, all of one range, that fail at once.
+    failed: usize,
+    /// Minimum share of requests that are answered by the soft deadline, and at all.
+    min_in_time: f64,
+    min_answered: f64,
+}
+
+const SLOW_SHARDS: &[SlowShardsCase] = &[
+    SlowShardsCase {
+        name: "one shard in fifty is slow",
+        slow_probability: 0.02,
+        extra_ms: 400.0,
+        failed: 0,
+        min_in_time: 0.8,
+        min_answered: 0.99,
+    },
+    SlowShardsCase {
+        name: "shards of one range fail together",
+        slow_probability: 0.0,
+        extra_ms: 1.0,
+        failed: 5,
+        min_in_time: 1.0,
+        min_answered: 1.0,
+    },
+    SlowShardsCase {
+        name: "one shard in twelve is slow",
+        slow_probability: 0.083,
+        extra_ms: 400.0,
+        failed: 0,
+        min_in_time: 0.0,
+        min_answered: 0.8,
+    },
+    SlowShardsCase {
+        name: "a third of the shards are somewhat late",
+        slow_probability: 0.33,
+        extra_ms: 100.0,
+        failed: 0,
+        min_in_time: 0.0,
+        min_answered: 0.8,
+    },
+];
+
+const SOFT_MS: f64 = 120.0;
+const HARD_MS: f64 = 1_000.0;
+
+/// Returns when a range ends, in milliseconds, and how; `answers` are the times of its shards, infinite if they fail.
+fn range_end(answers: &[f64], ratios: RangeRatios) -> (f64, RangeEnd) {
+    let required = |ratio: f64| ((ratio * answers.len() as f64 - 1e-9).ceil() as usize).max(1);
+    let min = required(ratios.min_shard_ratio);
+    let [soft, late] = [ratios.soft_shard_ratio, ratios.late_shard_ratio].map(required);
+    let mut ended: Vec<f64> = answers.iter().copied().filter(|at| at.is_finite()).collect();
+    ended.sort_by(f64::total_cmp);
+    if ended.len() < min {
+        return (50.0, RangeEnd::GivenUp { late: false });
+    }
+    let all = ended[ended.len() - 1];
+    let is_soft_enough = ended.get(soft - 1).is_some_and(|at| *at <= SOFT_MS + 10.0);
+    let enough = if is_soft_enough { soft } else { late };
+    let enough = ended.get(enough - 1).map_or(all, |at| at.max(SOFT_MS));
+    let at = all.min(enough).min(HARD_MS);
+    let missing = answers.len() - ended.iter().filter(|t| **t <= at).count();
+    (at, RangeEnd::Gathered { missing })
+}
+
+/// Returns the shares of requests that are answered by the soft deadline, and at all.
+fn replay_slow_shards(case: &SlowShardsCase, seed: u64, ratios: RangeRatios) -> (f64, f64) {
+    const REQUESTS: usize = 400;
+    let tick = |at: f64| Tick((at * 1_000.0) as u64);
+    let mut rng = StdRng::seed_from_u64(seed);
+    let (mut in_time, mut answered) = (0, 0);
+    for _ in 0..REQUESTS {
+        let mut answers = vec![50.0; 180];
+        for at in &mut answers {
+            if rng.random_bool(case.slow_probability) {
+                *at += -rng.random_range(1e-9f64..1.0).ln() * case.extra_ms;
+            }
+        }
+        answers[..case.failed].fill(f64::INFINITY);
+        let mut ends: Vec<_> = answers.chunks(30).map(|range| range_end(range, ratios)).collect();
+        ends.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+        let mut progress = RangeProgress::new(180, 0.95, tick(SOFT_MS));
+        let answered_at = ends.iter().find_map(|(at, end)| {
+            progress.record(30, *end, tick(*at));
+            let at = at.max(if progress.decision(tick(*at)) == RangesDecision::Wait {
+                SOFT_MS
+            } else {
+                *at
+            });
+            (progress.decision(tick(at)) == RangesDecision::Answer).then_some(at)
+        });
+        answered += usize::from(answered_at.is_some());
+        in_time += usize::from(answered_at.is_some_and(|at| at <= SOFT_MS));
+    }
+    (in_time as f64 / REQUESTS as f64, answered as f64 / REQUESTS as f64)
+}
+
+#[test]
+fn slow_and_failed_shards_of_a_range_cost_no_more_than_those_of_a_request() {
+    for case in SLOW_SHARDS {
+        for seed in seeds(5) {
+            let (in_time, answered) = replay_slow_shards(case, seed, range_ratios(0.95, 180, 30));
+            let same_for_all = RangeRatios {
+                min_shard_ratio: 0.95,
+                soft_shard_ratio: 0.95,
+                late_shard_ratio: 0.95,
+            };
+            let (before, before_at_all) = replay_slow_shards(case, seed, same_for_all);
+            println!(
+                "case: {}, seed {seed}: {in_time:.3} in time, {answered:.3} at all; {before:.3} and {before_at_all:.3} with the \
+                 request's ratio in each range",
+                case.name
+            );
+            assert!(
+                in_time >= case.min_in_time,
+                "{}, seed {seed}: {in_time:.3} in time",
+                case.name
+            );
+            assert!(answered >= case.min_answered, "{}, seed {seed}: {answered:.3}", case.name);
+        }
+    }
+}
--- a/tests/scatter.rs
+++ b/tests/scatter.rs
@@ -69,6 +69,7 @@
         min_shard_ratio: 0.75,
         soft_deadline: ms(100),
         hard_deadline: ms(500),
+        ..ScatterOptions::default()
     }
 }
 
