A request that no server was sent is refused as not run, whatever its sends waited for

Clients can't try non-idempotent requests again after these.

Cause: the scatter took each send in flight for one that may have run, though it may still be opening its connection or waiting for one. Class: a known outcome reported as unknown.

Change: a request counts its dispatches that are not known to have been refused. When it is given up, its sends are ended first, so that none is dispatched later, and then the count says whether it may have run.

--- a/src/transport/upstreams/context.rs
+++ b/src/transport/upstreams/context.rs
@@ -13,7 +13,7 @@
 use crate::state::arena::{PoolKey, RouteKey, ServerKey};
 use crate::state::time::Tick;
 use crate::state::topology::{Server, TopologyView};
-use crate::transport::upstreams::send::DispatchTimes;
+use crate::transport::upstreams::send::Dispatches;
 use crate::transport::upstreams::tier::{RouteStats, ServerState, Tier};
 
 /// Cost of opening a connection in addition to its round trip, in usual answer times: both ends work for it, and the server
@@ -77,7 +77,7 @@
     pub(crate) tier: &'a Tier,
     pub(crate) view: &'a TopologyView,
     pub(crate) times: AnswerTimes,
-    pub(crate) dispatch_times: Arc<DispatchTimes>,
+    pub(crate) dispatches: Arc<Dispatches>,
     /// Whether the request is sharded.
     pub(crate) is_sharded: bool,
 }
@@ -86,8 +86,8 @@
     /// Builds the context of no request, to choose servers of a sharded route.
     pub(crate) fn unsent(tier: &'a Tier, view: &'a TopologyView, route: RouteKey) -> Self {
         let times = AnswerTimes::estimate(tier, route, Duration::ZERO, 0.0);
-        let dispatch_times = Arc::new(DispatchTimes::new(0));
-        Self { tier, view, times, dispatch_times, is_sharded: true }
+        let dispatches = Arc::new(Dispatches::new(0));
+        Self { tier, view, times, dispatches, is_sharded: true }
     }
 
     /// Returns the servers of a pool that are not in `avoid`.
@@ -186,7 +186,7 @@
     }
 
     fn dispatched_at(&self, shard: usize) -> Option<Tick> {
-        self.dispatch_times.get(shard)
+        self.dispatches.time(shard)
     }
 
     fn record_overdue(&mut self, key: ServerKey, now: Tick) {
--- a/src/transport/upstreams/run.rs
+++ b/src/transport/upstreams/run.rs
@@ -14,7 +14,7 @@
 use crate::state::arena::{PoolKey, RouteKey, ServerKey};
 use crate::state::topology::TopologyView;
 use crate::transport::upstreams::context::{AnswerTimes, TierContext, retry_budget_options};
-use crate::transport::upstreams::send::{Answer, DispatchTimes, ScatterRequest, SendOutcome, send};
+use crate::transport::upstreams::send::{Answer, Dispatches, ScatterRequest, SendOutcome, send};
 use crate::transport::upstreams::tier::{RouteStats, Tier};
 
 /// Time for which sends whose answers are no longer needed may complete, so that their connections can
@@ -92,16 +92,11 @@
         outgoing,
         idempotent: opts.idempotent,
         times,
-        dispatch_times: Arc::new(DispatchTimes::new(opts.shards.len())),
+        dispatches: Arc::new(Dispatches::new(opts.shards.len())),
         hard_deadline: opts.hard_deadline,
     };
-    let context = TierContext {
-        tier,
-        view,
-        times,
-        dispatch_times: request.dispatch_times.clone(),
-        is_sharded,
-    };
+    let context =
+        TierContext { tier, view, times, dispatches: request.dispatches.clone(), is_sharded };
     let driver = Driver {
         tier,
         context,
@@ -128,7 +123,11 @@
                     finish_in_background(in_flight);
                     return Ok(self.gathered(&scatter));
                 }
-                Decision::GiveUp { ran } => return Err(self.given_up(ran, &scatter)),
+                Decision::GiveUp { .. } => {
+                    // sends that wait for a connection are not dispatched any more
+                    in_flight.shutdown().await;
+                    return Err(self.given_up(&scatter));
+                }
                 Decision::Wait => {}
             }
             let wake = scatter.next_wake(now);
@@ -195,7 +194,7 @@
 
     fn spawn_sends(&self, sends: impl IntoIterator<Item = ShardSend>, in_flight: &mut Sends) {
         for ShardSend { shard, server } in sends {
-            self.request.dispatch_times.clear(shard);
+            self.request.dispatches.clear_time(shard);
             let (tier, request) = (self.tier.clone(), self.request.clone());
             in_flight
                 .spawn(async move { ((shard, server), send(tier, request, shard, server).await) });
@@ -266,7 +265,8 @@
         self.context.view.server(key).map_or("?", |s| s.report.id.as_str())
     }
 
-    fn given_up(self, ran: bool, scatter: &Scatter) -> GivenUp {
+    fn given_up(self, scatter: &Scatter) -> GivenUp {
+        let ran = self.request.dispatches.may_have_run();
         let missing = scatter.missing_shards();
         let (pools, min_shard_ratio) = scatter.targets();
         let now = self.tier.now();
--- a/src/transport/upstreams/send.rs
+++ b/src/transport/upstreams/send.rs
@@ -1,7 +1,7 @@
 //! Sends a request to one server: checks out a connection, then exchanges request and answer.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -33,26 +33,48 @@
 /// Minimum time left before the hard deadline for a request to be sent.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(1);
 
-/// When the last send to each shard was written to its connection.
+/// The dispatches of a request: when the last send to each shard was written to its connection, and how many sends may have
+/// run.
 #[derive(Debug)]
-pub(crate) struct DispatchTimes(Vec<AtomicU64>);
+pub(crate) struct Dispatches {
+    times: Vec<AtomicU64>,
+    may_have_run: AtomicUsize,
+}
 
-impl DispatchTimes {
+impl Dispatches {
     pub(crate) fn new(shards: usize) -> Self {
-        Self((0..shards).map(|_| AtomicU64::new(0)).collect())
+        let times = (0..shards).map(|_| AtomicU64::new(0)).collect();
+        Self { times, may_have_run: AtomicUsize::new(0) }
+    }
+
+    /// Returns the number of shards.
+    fn shard_count(&self) -> usize {
+        self.times.len()
     }
 
-    pub(crate) fn clear(&self, shard: usize) {
-        self.0[shard].store(0, Ordering::Relaxed);
+    pub(crate) fn clear_time(&self, shard: usize) {
+        self.times[shard].store(0, Ordering::Relaxed);
     }
 
+    /// Records a dispatch.
     fn record(&self, shard: usize, at: Tick) {
-        self.0[shard].store(at.0, Ordering::Relaxed);
+        self.times[shard].store(at.0, Ordering::Relaxed);
+        self.may_have_run.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Records that a dispatched send is known not to have run.
+    fn record_not_run(&self) {
+        self.may_have_run.fetch_sub(1, Ordering::Relaxed);
     }
 
     /// Returns the time of the last dispatch; `None` if the last send was not dispatched yet.
-    pub(crate) fn get(&self, shard: usize) -> Option<Tick> {
-        Some(Tick(self.0[shard].load(Ordering::Relaxed))).filter(|at| *at != Tick::default())
+    pub(crate) fn time(&self, shard: usize) -> Option<Tick> {
+        Some(Tick(self.times[shard].load(Ordering::Relaxed))).filter(|at| *at != Tick::default())
+    }
+
+    /// Returns whether some server may have run the request.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.may_have_run.load(Ordering::Relaxed) > 0
     }
 }
 
@@ -62,13 +84,13 @@
     pub(crate) outgoing: OutgoingRequest,
     pub(crate) idempotent: bool,
     pub(crate) times: AnswerTimes,
-    pub(crate) dispatch_times: Arc<DispatchTimes>,
+    pub(crate) dispatches: Arc<Dispatches>,
     pub(crate) hard_deadline: Tick,
 }
 
 impl ScatterRequest {
     fn is_sharded(&self) -> bool {
-        self.dispatch_times.0.len() > 1
+        self.dispatches.shard_count() > 1
     }
 }
 
@@ -285,7 +307,7 @@
         };
         let req = self.build_request(&server.report.id, time_left);
         let dispatched = attempt.dispatch(permit);
-        self.request.dispatch_times.record(self.shard, sent_at);
+        self.request.dispatches.record(self.shard, sent_at);
         let answer = async {
             let res = conn.sender.try_send_request(req).await;
             let res = res.map_err(|mut e| match e.take_message() {
@@ -308,7 +330,10 @@
                 self.update_server(|s| s.connections.close_idle());
                 Ok(self.record_failure(dispatched.fail(Fault::Timeout)).on_connection(&conn))
             }
-            Ok(Err(Unanswered::Unsent)) => Err(dispatched.into_pending()),
+            Ok(Err(Unanswered::Unsent)) => {
+                self.request.dispatches.record_not_run();
+                Err(dispatched.into_pending())
+            }
             Ok(Err(Unanswered::Failed(Fault::TooLarge))) => {
                 Ok(self.record_failure(dispatched.fail(Fault::TooLarge)))
             }
@@ -329,6 +354,9 @@
                 conn.answered += 1;
                 conn.idle_limit = head.idle_timeout.or(conn.idle_limit);
                 let outcome = self.evaluate_reply(attempt, reply, head, now.since(sent_at));
+                if matches!(outcome.result, SendResult::NotRun(_)) {
+                    self.request.dispatches.record_not_run();
+                }
                 if outcome.result != SendResult::Failed(Fault::Truncated) {
                     self.check_in(conn, now);
                 }
