Test: both replicas of a shard shed and ask for time, on the product's own interface

The stand-in upstream's refusals may carry `retry-after`. 60 queries a second through four instances, both replicas of one shard shed with `retry-after: 20`: at most two requests an instance may be shed by each of them in the 4 s after.

--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -75,6 +75,8 @@
     pub lost: String,
     /// Every request is shed.
     pub shed: bool,
+    /// Seconds for which a shed request asks for no further ones; 0 means that it does not.
+    pub retry_after_s: f64,
 }
 
 /// Counters of an upstream.
@@ -311,7 +313,12 @@
 
 fn refusal(state: &State, status: u16, reason: &'static str) -> Answer {
     let mut response = with_status_headers(state, respond(status, ""));
-    response.headers_mut().insert("x-refused", reason.parse().expect("plain text"));
+    let headers = response.headers_mut();
+    headers.insert("x-refused", reason.parse().expect("plain text"));
+    if reason == "shed" && state.faults.retry_after_s > 0.0 {
+        let seconds = state.faults.retry_after_s.to_string();
+        headers.insert("retry-after", seconds.parse().expect("plain text"));
+    }
     Some(response)
 }
 
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -128,6 +128,15 @@
     assert!(idle + stood_still_ms(result) > 1_500, "search-0-0 received a request {idle} ms ago");
 }
 
+/// Requires that each instance sent at most two requests to each replica of the first shard after it asked for time.
+fn check_first_shard_spared(result: &ScenarioResult) {
+    for name in ["search-0-0", "search-0-1"] {
+        let shed = result.upstreams[name].shed;
+        let limit = 2 * result.rig.instances.len() as u64;
+        assert!(shed > 0 && shed <= limit, "{name} shed {shed} requests, limit {limit}");
+    }
+}
+
 fn check_requests_answered(result: &ScenarioResult) {
     let outcomes: Vec<_> = result.outcomes.values().flatten().collect();
     assert!(!outcomes.is_empty());
@@ -222,6 +231,20 @@
         check: check_first_replica_idle,
         ..DEFAULT_CASE
     },
+    Case {
+        name: "both replicas of a shard shed and ask for time",
+        steps: || {
+            let faults = |faults: &mut UpstreamFaults| {
+                (faults.shed, faults.retry_after_s) = (true, 20.0);
+            };
+            vec![
+                (1_000, Step::SetUpstreamFaults("search-0-0", upstream_faults(faults))),
+                (1_000, Step::SetUpstreamFaults("search-0-1", upstream_faults(faults))),
+            ]
+        },
+        check: check_first_shard_spared,
+        ..DEFAULT_CASE
+    },
     Case {
         name: "an upstream leaves by ticket",
         steps: || vec![(1_000, Step::SetUpstreamLeaving("search-0-0"))],
