Log lines of documents that are pushed and fetched

A reshard on a large deployment stalled the gatherers, and nothing said what the links carried. Each push is logged with members, entries, bytes and time, each fetch of full documents with the peer and the bytes.

--- a/src/state/docs.rs
+++ b/src/state/docs.rs
@@ -46,7 +46,20 @@
     BaseMismatch,
 }
 
+impl DocDelta {
+    /// Returns the size of its entries, in bytes.
+    pub fn bytes(&self) -> usize {
+        let put: usize = self.put.iter().map(|(name, entry)| name.len() + entry.len()).sum();
+        put + self.gone.iter().map(String::len).sum::<usize>()
+    }
+}
+
 impl Doc {
+    /// Returns the size of its entries, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.entries.iter().map(|(name, entry)| name.len() + entry.len()).sum()
+    }
+
     /// Returns a digest of the entries that does not depend on their order.
     fn digest(&self) -> u64 {
         self.entries.iter().fold(0, |sum, (name, entry)| sum ^ hash::entry_digest(name, entry))
--- a/src/transport/peers/heartbeats.rs
+++ b/src/transport/peers/heartbeats.rs
@@ -109,6 +109,9 @@
 async fn fetch_docs(peers: &Arc<Peers>, addr: SocketAddr) {
     let Ok(link) = peers.link(addr).await else { return };
     if let Ok(docs) = link.client.docs(context_with_timeout(DOCS_TIMEOUT), peers.versions()).await {
+        let bytes: usize = docs.values().map(|doc| doc.bytes()).sum();
+        let peer = addr.to_string();
+        log::info!(peer = peer.as_str(), topics = docs.len(), bytes; "documents fetched");
         let deltas = peers.apply_docs(docs);
         let is_remote =
             !peers.members().iter().any(|m| m.addr == addr && m.domain == peers.opts.me.domain);
@@ -156,6 +159,7 @@
 }
 
 async fn push_to(peers: &Arc<Peers>, addrs: Vec<SocketAddr>, deltas: &IndexMap<String, DocDelta>) {
+    let (started, members) = (Instant::now(), addrs.len());
     let send = async |addr| {
         let Ok(link) = peers.link(addr).await else { return };
         let me = peers.opts.me.addr;
@@ -167,6 +171,10 @@
         }
     };
     join_all(addrs.into_iter().map(send)).await;
+    let entries: usize = deltas.values().map(|delta| delta.put.len() + delta.gone.len()).sum();
+    let bytes: usize = deltas.values().map(DocDelta::bytes).sum();
+    let took_ms = started.elapsed().as_millis() as u64;
+    log::info!(members, entries, bytes, took_ms; "documents pushed");
 }
 
 /// Tells all known members that this instance is leaving.
