A notice counts for its run although the server's entry is gone or listed anew when it comes

What callers would see: a server whose entry was deleted while its last answers were on their way, and that an old list brought back, was sent requests although those answers had said that it leaves (DRAIN).

Cause: the head of a reply was recorded by the key of the server in the present list, and dropped where there was none. Class: a message is tied to what is listed when it comes, not to what it was sent to.

Change: a reply is recorded for the run that the request was sent to: under the key that this run has now, or in the memory of runs if it is not listed.

--- a/src/transport/upstreams/outcome.rs
+++ b/src/transport/upstreams/outcome.rs
@@ -9,7 +9,7 @@
 };
 use crate::coordination::domain_health::DomainHealth;
 use crate::coordination::scatter::SendResult;
-use crate::coordination::server_notices::Availability;
+use crate::coordination::server_notices::{Availability, ServerNotices};
 use crate::protocol::codec::ResponseHead;
 use crate::state::time::Tick;
 use crate::state::topology::Server;
@@ -44,8 +44,8 @@
     pub(crate) fn evaluate_reply(
         &self,
         attempt: Attempt<Replied>,
-        reply: Reply,
-        head: ResponseHead,
+        server: &Server,
+        (head, reply): (ResponseHead, Reply),
         took: Duration,
     ) -> SendOutcome {
         let now = self.tier.now();
@@ -54,7 +54,7 @@
         });
         // what another server at the address reports is not this server's
         if head.refusal != Some(UpstreamRefusal::Replaced) {
-            self.record_head(&head, now);
+            self.record_head(server, &head, now);
         }
         if let Some(refusal) = head.refusal {
             return self.record_refusal(attempt, refusal, now);
@@ -87,15 +87,13 @@
         }
     }
 
-    /// Records what the head of an answer reports about the server.
-    fn record_head(&self, head: &ResponseHead, now: Tick) {
-        let view = self.tier.view();
-        let Some(server) = view.server(self.key) else { return };
+    /// Records what the head of an answer reports about the server, as it was listed when the request was sent.
+    fn record_head(&self, server: &Server, head: &ResponseHead, now: Tick) {
         if let Some((queue, slots)) = head.load {
             self.update_server(|s| s.stats.record_load(queue, slots, now));
         }
-        if self.tier.record_run(self.key, server, head, now) {
-            self.log_notices(server, now);
+        if let Some(notices) = self.tier.record_run(self.key, server, head, now) {
+            self.log_notices(server, notices, now);
         }
         if let Some(e) = &head.invalid_backoff {
             let is_first =
@@ -108,8 +106,7 @@
     }
 
     /// Logs what a run of the server asked for in its reply to this request.
-    fn log_notices(&self, server: &Server, now: Tick) {
-        let Some(notices) = self.update_server(|s| s.stats.notices) else { return };
+    fn log_notices(&self, server: &Server, notices: ServerNotices, now: Tick) {
         let (id, started_at_ms) =
             (self.request.id.as_str(), server.report.started_at_ms.unwrap_or_default());
         let server = server.report.id.as_str();
--- a/src/transport/upstreams/send.rs
+++ b/src/transport/upstreams/send.rs
@@ -353,7 +353,8 @@
                 };
                 conn.answered += 1;
                 conn.idle_limit = head.idle_timeout.or(conn.idle_limit);
-                let outcome = self.evaluate_reply(attempt, reply, head, now.since(sent_at));
+                let outcome =
+                    self.evaluate_reply(attempt, server, (head, reply), now.since(sent_at));
                 if matches!(outcome.result, SendResult::NotRun(_)) {
                     self.request.dispatches.record_not_run();
                 }
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -17,7 +17,9 @@
 use crate::coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
 use crate::coordination::return_times::ReturnTimes;
 use crate::coordination::round_robin::WeightedRoundRobin;
-use crate::coordination::server_notices::{Availability, Notice, NoticeMemory, RunId};
+use crate::coordination::server_notices::{
+    Availability, Notice, NoticeMemory, RunId, ServerNotices,
+};
 use crate::coordination::server_stats::{RunReport, ServerStats};
 use crate::coordination::shares::{self, Role};
 use crate::coordination::sliding_window::SlidingWindow;
@@ -372,18 +374,20 @@
         }
     }
 
-    /// Records what the head of a server's reply reports about its run; returns whether it asks for something new.
+    /// Records what the head of a server's reply reports about its run; returns what it asks for, if that is new.
+    ///
+    /// The run may have been removed since the request was sent, or listed again under another key.
     pub(crate) fn record_run(
         &self,
         key: ServerKey,
         server: &Server,
         head: &ResponseHead,
         now: Tick,
-    ) -> bool {
+    ) -> Option<ServerNotices> {
         let cold_duration = self.view().server_limits(server).cold_duration;
         let notice = Notice { draining: head.draining, backoff: head.backoff };
         let run = RunReport { boot_id: head.boot_id, held: head.held, notice };
-        let changed = self.servers.with_or_insert(key, ServerState::default, |s| {
+        let update = |s: &mut ServerState| {
             let changed = s.stats.record_run(run, cold_duration, now);
             if changed && s.stats.notices.is_draining() {
                 s.connections.close_idle();
@@ -392,13 +396,21 @@
                 s.connections.wake_waiter();
             }
             changed.then_some(s.stats.notices)
-        });
-        let Some(notices) = changed else { return false };
+        };
+        let run_id = RunId::from(&server.report);
+        let changed = match listed_key(&self.view(), key, server) {
+            Some(key) => self.servers.with_or_insert(key, ServerState::default, update),
+            None => {
+                let mut notices = self.notices.lock().get(&run_id).unwrap_or_default();
+                notices.record(notice, now).then_some(notices)
+            }
+        };
+        let notices = changed?;
         if let Err(why) = notices.permit(now) {
             self.metrics.notices.with_label_values(&[why.as_str()]).inc();
         }
-        self.notices.lock().record(RunId::from(&server.report), notices, now);
-        true
+        self.notices.lock().record(run_id, notices, now);
+        Some(notices)
     }
 
     /// Returns when a request to one server of each of `pools` can be answered at the earliest.
@@ -448,6 +460,16 @@
     }
 }
 
+/// Returns the key under which a server's run is listed now; `key` is the one that it had.
+fn listed_key(view: &TopologyView, key: ServerKey, server: &Server) -> Option<ServerKey> {
+    if view.server(key).is_some() {
+        return Some(key);
+    }
+    let listed = view.key_by_id(&server.report.id)?;
+    let is_same = RunId::from(&view.server(listed)?.report) == RunId::from(&server.report);
+    is_same.then_some(listed)
+}
+
 /// Logs which servers were added, were removed or started draining.
 fn log_server_changes(before: &TopologyView, after: &TopologyView, listed: usize) {
     let id = |(_, s): (ServerKey, &Server)| s.report.id.clone();
