--- a/src/coordination/scatter.rs
+++ b/src/coordination/scatter.rs
@@ -16,7 +16,8 @@
 /// Delay before a send that the retry budget did not allow is tried again.
 const BUDGET_RETRY_DELAY: Duration = Duration::from_millis(15);
 
-/// Time after the soft deadline from which an answer is late, so that a few milliseconds more for it do not count.
+/// Time after the soft deadline from which the late ratio applies: what arrives at the deadline is read some milliseconds
+/// after it.
 const LATE_DELAY: Duration = Duration::from_millis(10);
 
 /// The state that a scatter reads and updates.
