A restarted upstream that is listed again starts clean; a status reply's Retry-After counts

What callers would see: on the own interface an upstream that drained, was taken out, restarted and listed again within ten minutes got no more requests. There runs have no start time, so the new run was taken for the former one, and its boot ID did not tell them apart. Class: an identity that holds on one front end is assumed on the other.

Change: only runs whose start is reported are remembered beyond their entry. Beside it: the head of a status reply was decoded without its status, so that 503 with Retry-After asked for nothing.

Evidence: tests/server_notices.rs, 'a run whose start is not reported'; by reading for the status reply.

--- a/src/coordination/server_notices.rs
+++ b/src/coordination/server_notices.rs
@@ -99,13 +99,15 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct RunId {
     id: String,
-    started_at_ms: Option<u64>,
+    started_at_ms: u64,
     addr: SocketAddr,
 }
 
-impl From<&ServerReport> for RunId {
-    fn from(report: &ServerReport) -> Self {
-        Self { id: report.id.clone(), started_at_ms: report.started_at_ms, addr: report.addr }
+impl RunId {
+    /// Returns the identity of the reported run; `None` if its start is not reported, since a new run would have the same.
+    pub fn of(report: &ServerReport) -> Option<Self> {
+        let started_at_ms = report.started_at_ms?;
+        Some(Self { id: report.id.clone(), started_at_ms, addr: report.addr })
     }
 }
 
--- a/src/transport/callers/query.rs
+++ b/src/transport/callers/query.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use futures::future::join_all;
-use hyper::{Method, Uri};
+use hyper::{Method, StatusCode, Uri};
 
 use crate::coordination::attempt::{Fault, Label, NotRunCode};
 use crate::coordination::query::{Answer, MissingReason};
@@ -247,6 +247,7 @@
     let Some(server) = view.server(key) else { return };
     let Ok(reply) = http::get(server.report.addr, STATUS_URI, STATUS_TIMEOUT).await else { return };
     let mut res = hyper::Response::new(());
+    *res.status_mut() = StatusCode::from_u16(reply.status).unwrap_or_default();
     *res.headers_mut() = reply.headers;
     let head = node.tier.codec.parse_response_head(&res.into_parts().0);
     node.tier.record_run(key, server, &head, node.now());
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -165,6 +165,8 @@
     pub(crate) spread: Mutex<Spread>,
     shards_in_flight: AtomicUsize,
     notices: Mutex<NoticeMemory>,
+    /// Whether any server has asked for anything since the start.
+    has_notices: AtomicBool,
 }
 
 impl Tier {
@@ -195,6 +197,7 @@
             spread: Mutex::default(),
             shards_in_flight: AtomicUsize::new(0),
             notices: Mutex::default(),
+            has_notices: AtomicBool::new(false),
         }
     }
 
@@ -368,7 +371,7 @@
             return;
         }
         for (key, server) in view.servers().filter(|(key, _)| before.server(*key).is_none()) {
-            if let Some(known) = notices.get(&RunId::from(&server.report)) {
+            if let Some(known) = RunId::of(&server.report).and_then(|run| notices.get(&run)) {
                 self.servers.with_or_insert(key, ServerState::default, |s| s.stats.notices = known);
             }
         }
@@ -397,19 +400,23 @@
             }
             changed.then_some(s.stats.notices)
         };
-        let run_id = RunId::from(&server.report);
+        let run_id = RunId::of(&server.report);
         let changed = match listed_key(&self.view(), key, server) {
             Some(key) => self.servers.with_or_insert(key, ServerState::default, update),
             None => {
-                let mut notices = self.notices.lock().get(&run_id).unwrap_or_default();
+                let known = run_id.as_ref().and_then(|run| self.notices.lock().get(run));
+                let mut notices = known.unwrap_or_default();
                 notices.record(notice, now).then_some(notices)
             }
         };
         let notices = changed?;
+        self.has_notices.store(true, Ordering::Relaxed);
         if let Err(why) = notices.permit(now) {
             self.metrics.notices.with_label_values(&[why.as_str()]).inc();
         }
-        self.notices.lock().record(run_id, notices, now);
+        if let Some(run) = run_id {
+            self.notices.lock().record(run, notices, now);
+        }
         Some(notices)
     }
 
@@ -421,7 +428,7 @@
         view: &TopologyView,
         now: Tick,
     ) -> Availability {
-        let has_notices = !self.notices.lock().is_empty();
+        let has_notices = self.has_notices.load(Ordering::Relaxed);
         reachability::available_from(pools, min_shard_ratio, view, |key| {
             let of_server = |s: &mut ServerState| s.stats.notices.availability(now);
             let known = has_notices.then(|| self.servers.with(key, of_server)).flatten();
@@ -466,8 +473,8 @@
         return Some(key);
     }
     let listed = view.key_by_id(&server.report.id)?;
-    let is_same = RunId::from(&view.server(listed)?.report) == RunId::from(&server.report);
-    is_same.then_some(listed)
+    let run = RunId::of(&server.report)?;
+    (RunId::of(&view.server(listed)?.report)? == run).then_some(listed)
 }
 
 /// Logs which servers were added, were removed or started draining.
--- a/tests/server_notices.rs
+++ b/tests/server_notices.rs
@@ -127,6 +127,17 @@
     }
 }
 
+fn run_id(report: &ServerReport) -> RunId {
+    RunId::of(report).expect("its start is reported")
+}
+
+#[test]
+fn a_run_whose_start_is_not_reported_is_not_taken_for_another() {
+    let pool = NameInterner::default().pool_key("s");
+    let report = ServerReport { started_at_ms: None, ..report("a", pool, 1, 0) };
+    assert_eq!(RunId::of(&report), None);
+}
+
 struct MemoryCase {
     name: &'static str,
     notice: Notice,
@@ -195,10 +206,10 @@
     for case in MEMORY {
         let (mut memory, mut notices) = (NoticeMemory::default(), ServerNotices::default());
         notices.record(case.notice, ms(0));
-        memory.record(RunId::from(&report("a", pool, 1, 5)), notices, ms(0));
+        memory.record(run_id(&report("a", pool, 1, 5)), notices, ms(0));
         memory.forget(ms(case.at));
         let (id, port, start) = case.listed;
-        let known = memory.get(&RunId::from(&report(id, pool, port, start)));
+        let known = memory.get(&run_id(&report(id, pool, port, start)));
         assert_eq!(known.is_some(), case.is_known, "{}", case.name);
         assert!(known.is_none_or(|k| k == notices), "{}", case.name);
     }
@@ -209,7 +220,7 @@
     let pool = NameInterner::default().pool_key("s");
     let (mut memory, mut notices) = (NoticeMemory::default(), ServerNotices::default());
     notices.record(LEAVING, ms(0));
-    let run = |n: u64| RunId::from(&report("a", pool, 1, n));
+    let run = |n: u64| run_id(&report("a", pool, 1, n));
     for n in 0..50_000 {
         memory.record(run(n), notices, ms(0));
         assert!(memory.len() <= 9_000, "{n}: {}", memory.len());
