A failed shard of a range is not waited for at the soft deadline

What callers would see: with some shards of a range failed and one slow, the whole request came at the hard deadline, though enough shards had answered at the soft one. Class: waiting for what is known not to come.

Change: failed shards count as settled; the minimum ratio holds as before.

Evidence: tests/scatter.rs, 'a failed shard is not waited for at the soft deadline': Wait before, Answer now; four more cases on the soft and late ratios.

--- a/src/coordination/scatter.rs
+++ b/src/coordination/scatter.rs
@@ -302,7 +302,7 @@
         let soft_required = required_shards(soft_ratio, all);
         let is_final = answered + failed == all
             || now >= self.opts.hard_deadline
-            || (now >= self.opts.soft_deadline && answered >= soft_required);
+            || (now >= self.opts.soft_deadline && answered + failed >= soft_required);
         if answered >= required && is_final {
             Decision::Answer
         } else if all - failed < required || now >= self.opts.hard_deadline {
--- a/tests/scatter.rs
+++ b/tests/scatter.rs
@@ -73,6 +73,17 @@
     }
 }
 
+/// Returns the options of a range that may lack two of four shards, one at the soft deadline and none later.
+fn ranged(opts: &ScatterOptions) -> ScatterOptions {
+    ScatterOptions {
+        max_attempts: 1,
+        min_shard_ratio: 0.5,
+        soft_shard_ratio: 0.75,
+        late_shard_ratio: 1.0,
+        ..opts.clone()
+    }
+}
+
 /// What happens to a request, at a time in milliseconds.
 #[derive(Clone, Copy)]
 enum Event {
@@ -145,6 +156,54 @@
         events: &[(5, Event::Ends(0, IN)), (5, Event::Ends(1, IN)), (150, Event::Tick)],
         ..BASE
     },
+    Case {
+        name: "the soft ratio is waited for at the soft deadline, if it is above the minimum",
+        change: |opts| *opts = ranged(opts),
+        events: &[(5, Event::Ends(0, IN)), (5, Event::Ends(1, IN)), (100, Event::Tick)],
+        ..BASE
+    },
+    Case {
+        name: "the soft ratio is an answer at the soft deadline",
+        change: |opts| *opts = ranged(opts),
+        events: &[
+            (5, Event::Ends(0, IN)),
+            (5, Event::Ends(1, IN)),
+            (6, Event::Ends(2, IN)),
+            (100, Event::Tick),
+        ],
+        verdict: Decision::Answer,
+        ..BASE
+    },
+    Case {
+        name: "the late ratio is waited for after the soft deadline",
+        change: |opts| *opts = ranged(opts),
+        events: &[
+            (5, Event::Ends(0, IN)),
+            (5, Event::Ends(1, IN)),
+            (105, Event::Tick),
+            (120, Event::Ends(2, IN)),
+        ],
+        ..BASE
+    },
+    Case {
+        name: "a failed shard is not waited for at the soft deadline",
+        change: |opts| *opts = ranged(opts),
+        events: &[
+            (5, Event::Ends(0, IN)),
+            (5, Event::Ends(1, IN)),
+            (6, Event::Ends(2, LOST)),
+            (100, Event::Tick),
+        ],
+        verdict: Decision::Answer,
+        ..BASE
+    },
+    Case {
+        name: "the minimum ratio is an answer at the hard deadline",
+        change: |opts| *opts = ranged(opts),
+        events: &[(5, Event::Ends(0, IN)), (5, Event::Ends(1, IN)), (500, Event::Tick)],
+        verdict: Decision::Answer,
+        ..BASE
+    },
     Case {
         name: "given up at the hard deadline",
         budget: 0,
