Requests that wait for a connection to a server that goes or leaves are told at once

What callers would see: when a server was removed, drained by its entry or announced that it leaves, requests that waited for one of its connections were woken one for each released connection, and the others at their deadline. Cause: the chain of wake-ups ended at a server that is not listed, and changes of entries woke nobody. Class: a wait that is tied to one of several reasons to end it.

Change: a change of the list wakes a request that waits for a server which may not be sent any, and each that finds this wakes the next one by the handle that it waited on.

--- a/src/transport/upstreams/connection_pool.rs
+++ b/src/transport/upstreams/connection_pool.rs
@@ -88,6 +88,11 @@
     pub(crate) async fn wait(&self) {
         self.0.released.notified().await;
     }
+
+    /// Wakes the next request that waits.
+    pub(crate) fn wake_next(&self) {
+        self.0.released.notify_one();
+    }
 }
 
 /// The connection pool of one server.
--- a/src/transport/upstreams/send.rs
+++ b/src/transport/upstreams/send.rs
@@ -19,7 +19,7 @@
 use crate::state::time::Tick;
 use crate::state::topology::{Server, TopologyView};
 use crate::transport::http::{self, Reply, ReplyError};
-use crate::transport::upstreams::connection_pool::{Checkout, Connection};
+use crate::transport::upstreams::connection_pool::{Checkout, Connection, Released};
 use crate::transport::upstreams::context::AnswerTimes;
 use crate::transport::upstreams::tier::{ServerState, Tier};
 
@@ -253,18 +253,16 @@
     }
 
     /// Checks out a connection, waiting while this instance's share of the limit is in use.
+    ///
+    /// A request that waited and finds that the server is to be sent nothing wakes the next one, which finds the same.
     async fn acquire_connection(&self) -> Result<Connection, NotRunCode> {
+        let mut waited: Option<Released> = None;
         loop {
-            let view = self.tier.view();
-            let Some(server) = view.available_server(self.key) else {
-                return Err(NotRunCode::Leaving);
-            };
+            let (view, now) = (self.tier.view(), self.tier.now());
+            let permitted = view.available_server(self.key).ok_or(NotRunCode::Leaving);
+            let permitted = permitted.and_then(|server| self.permit(now).map(|_| server));
+            let server = permitted.inspect_err(|_| waited.iter().for_each(Released::wake_next))?;
             let limits = view.server_limits(server);
-            let now = self.tier.now();
-            if let Err(why) = self.permit(now) {
-                self.update_server(|s| s.connections.wake_waiter());
-                return Err(why);
-            }
             let limit = self.tier.connection_limit(limits.connections, now);
             let checkout = self.tier.servers.with_or_insert(self.key, ServerState::default, |s| {
                 let prefer_new = s.stats.oldest_in_flight(now) > PREFER_NEW_AGE;
@@ -277,6 +275,7 @@
                     if timeout(time_left, released.wait()).await.is_err() {
                         return Err(NotRunCode::NoConnection);
                     }
+                    waited = Some(released);
                 }
                 Checkout::MayOpen(permit) => {
                     let result = Connection::open(server.report.addr, permit, now).await;
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -358,6 +358,11 @@
             self.restore_notices(&self.view(), &view);
             *self.view.write() = view.clone();
             drop(topology);
+            self.servers.for_each(|key, s| {
+                if view.available_server(key).is_none() {
+                    s.connections.wake_waiter();
+                }
+            });
             self.servers.retain(|key| view.server(key).is_some());
         }
         changed
