Test rig: processes listen on loopback addresses of their own

Cause: the rig drew a port, tried it, closed it, and gave it to a process that bound it later; in between it was taken. By whom was not traced: nothing else listened there afterwards. Class: a check whose result may be old when it is used.

Change: each address has a loopback IP of this test process, counted up, as the platform's tests have; nothing is tried and nothing drawn. No case or bound changes.

--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -1,13 +1,13 @@
 //! A test rig on loopback: stand-ins in this process and instances as processes of the real binary.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result, bail, ensure};
 use indexmap::IndexMap;
-use parking_lot::Mutex;
 use tamarackdeck::{
     Capacity, Domain, Dump, InstanceState, ListedInstance, NamedMap, Policy, Preference, Service,
     ShardMap, Snapshot, Ticket, Upstream,
@@ -154,19 +154,19 @@
     binary: PathBuf,
 }
 
-/// Finds a free port below the system's ephemeral range, since an outgoing connection could take an ephemeral
-/// port before the process binds it. No port is returned twice.
+/// Port of the addresses that processes listen on, below the system's ephemeral range.
+const FIRST_PORT: u16 = 20_000;
+/// Number of addresses with the same port.
+const HOSTS: u16 = 250;
+
+/// Returns an address for a process to listen on, with a loopback IP of this test process, so that no other one takes the
+/// port before the process binds it. No address is returned twice.
 fn free_addr() -> SocketAddr {
-    static ALLOCATED: Mutex<Vec<u16>> = Mutex::new(Vec::new());
-    let mut allocated = ALLOCATED.lock();
-    loop {
-        let port = rand::random_range(10_000..30_000u16);
-        let addr = SocketAddr::from(([127, 0, 0, 1], port));
-        if !allocated.contains(&port) && TcpListener::bind(addr).is_ok() {
-            allocated.push(port);
-            return addr;
-        }
-    }
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let n = NEXT.fetch_add(1, Ordering::Relaxed);
+    let host = 1 + (n % HOSTS) as u8;
+    SocketAddr::from(([127, 64 + high % 64, low, host], FIRST_PORT + n / HOSTS))
 }
 
 impl Rig {
