Documents and their changes are encoded and compressed once for all members

Cause: the watcher of a failure domain sent each change as text, encoded anew, to each of its 59 members, and a whole document to each that asked. The watcher gathers requests over the same link and processor.

Change: protocol/encoded.rs; what decompresses to more than a frame may hold is an error. flate2 is the library.

Looked for elsewhere: answers to callers and to peers are merged records, a few hundred bytes; heartbeats carry versions only.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -62,7 +62,10 @@
     CallerCodec, CallerRequest, DeclineReason, OutgoingRequest, ResponseHead, ServerCodec,
 };
 pub use protocol::dump::{Dump, UpstreamDump};
-pub use protocol::frames::{FrameError, FrameTransport, decode_batch, encode_batch};
+pub use protocol::encoded::Encoded;
+pub use protocol::frames::{
+    FrameError, FrameTransport, MAX_FRAME_BYTES, decode_batch, encode_batch,
+};
 pub use protocol::gather::{GatherRequest, GatherResult, GatherScope, GatherTimes};
 pub use protocol::peer::{Heartbeat, Hello, HelloReply, PROTOCOL_VERSION as PEER_PROTOCOL_VERSION};
 pub use protocol::platform::{
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod caller;
 pub(crate) mod codec;
 pub(crate) mod dump;
+pub(crate) mod encoded;
 pub(crate) mod frames;
 pub(crate) mod gather;
 pub(crate) mod peer;
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -1,11 +1,11 @@
 //! The protocol between instances: the handshake and the remote procedure calls.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use crate::protocol::encoded::Encoded;
 use crate::protocol::gather::{GatherRequest, GatherResult};
 use crate::state::docs::{Doc, DocDelta};
 use crate::state::members::{InstanceId, Member};
@@ -80,6 +80,9 @@
     pub members: Vec<Member>,
 }
 
+/// Changes of documents by topic.
+pub type DocDeltas = IndexMap<String, DocDelta>;
+
 /// Remote procedure calls between instances.
 #[tarpc::service]
 pub trait Peer {
@@ -88,9 +91,9 @@
     /// Exchanges heartbeats.
     async fn beat(beat: Heartbeat) -> Heartbeat;
     /// Returns the documents that are newer than the versions in `have`.
-    async fn docs(have: IndexMap<String, u64>) -> IndexMap<String, Arc<Doc>>;
+    async fn docs(have: IndexMap<String, u64>) -> IndexMap<String, Encoded<Doc>>;
     /// Applies deltas of documents held by the instance whose peer listener is `from`.
-    async fn push(from: SocketAddr, changes: IndexMap<String, DocDelta>);
+    async fn push(from: SocketAddr, changes: Encoded<DocDeltas>);
     /// Announces that an instance is leaving.
     async fn left(name: String);
     /// Runs a sharded request and returns the merged answer.
--- a/src/transport/peers/heartbeats.rs
+++ b/src/transport/peers/heartbeats.rs
@@ -11,8 +11,10 @@
 use tarpc::context;
 
 use crate::coordination::doc_fetch::fetch_delay;
-use crate::protocol::peer::Heartbeat;
-use crate::state::docs::DocDelta;
+use crate::protocol::encoded::Encoded;
+use crate::protocol::frames::FrameError;
+use crate::protocol::peer::{DocDeltas, Heartbeat};
+use crate::state::docs::{Doc, DocDelta};
 use crate::state::members::Member;
 use crate::transport::peers::Peers;
 
@@ -120,6 +122,12 @@
 async fn fetch_docs(peers: &Arc<Peers>, addr: SocketAddr) {
     let Ok(link) = peers.link(addr).await else { return };
     if let Ok(docs) = link.client.docs(context_with_timeout(DOCS_TIMEOUT), peers.versions()).await {
+        let decode = |(topic, doc): (String, Encoded<Doc>)| Ok((topic, Arc::new(doc.decode()?)));
+        let decoded: Result<IndexMap<_, _>, FrameError> = docs.into_iter().map(decode).collect();
+        let docs = match decoded {
+            Ok(docs) => docs,
+            Err(e) => return log::warn!("invalid document from peer {addr}: {e}"),
+        };
         let bytes: usize = docs.values().map(|doc| doc.bytes()).sum();
         let peer = addr.to_string();
         log::info!(peer = peer.as_str(), topics = docs.len(), bytes; "documents fetched");
@@ -127,28 +135,28 @@
         let is_remote =
             !peers.members().iter().any(|m| m.addr == addr && m.domain == peers.opts.me.domain);
         if is_remote && !deltas.is_empty() {
-            push_local(peers, deltas).await;
+            push_to(peers, local_addrs(peers), &deltas).await;
         }
     }
 }
 
 /// Applies deltas pushed by a peer; fetches its newer documents if any delta has another base.
-pub(crate) fn handle_push(
-    peers: &Arc<Peers>,
-    from: SocketAddr,
-    deltas: &IndexMap<String, DocDelta>,
-) {
-    let all_applied = deltas
-        .iter()
-        .fold(true, |applied, (topic, delta)| peers.apply_delta(topic, delta) && applied);
-    if !all_applied {
+pub(crate) fn handle_push(peers: &Arc<Peers>, from: SocketAddr, deltas: &Encoded<DocDeltas>) {
+    let applied = deltas.decode().map(|deltas| {
+        let apply = |applied, (topic, delta): (&String, &DocDelta)| {
+            peers.apply_delta(topic, delta) && applied
+        };
+        deltas.iter().fold(true, apply)
+    });
+    let applied = applied.inspect_err(|e| log::warn!("invalid change from peer {from}: {e}"));
+    if !applied.unwrap_or_default() {
         let peers = peers.clone();
         tokio::spawn(async move { fetch_docs(&peers, from).await });
     }
 }
 
 /// Pushes deltas to all members of this failure domain and to a sample of each other one.
-pub(crate) async fn push_deltas(peers: Arc<Peers>, deltas: IndexMap<String, DocDelta>) {
+pub(crate) async fn push_deltas(peers: Arc<Peers>, deltas: DocDeltas) {
     let members = peers.members();
     let remote = remote_members(&members, &peers.opts.me.domain);
     let mut domains: Vec<&str> = remote.iter().map(|m| m.domain.as_str()).collect();
@@ -159,23 +167,29 @@
         candidates.sample(&mut rand::rng(), peers.opts.remote_push_fanout).map(|m| m.addr).collect()
     };
     let remote: Vec<SocketAddr> = domains.into_iter().flat_map(sample).collect();
-    tokio::join!(push_local(&peers, deltas.clone()), push_to(&peers, remote, &deltas));
+    let mut addrs = local_addrs(&peers);
+    addrs.extend(remote);
+    push_to(&peers, addrs, &deltas).await;
 }
 
-async fn push_local(peers: &Arc<Peers>, deltas: IndexMap<String, DocDelta>) {
+/// Returns the addresses of the other members of this failure domain.
+fn local_addrs(peers: &Peers) -> Vec<SocketAddr> {
     let me = &peers.opts.me;
     let local = |m: &Member| m.domain == me.domain && m.id.name() != me.id.name();
-    let addrs = peers.members().into_iter().filter(local).map(|m| m.addr).collect();
-    push_to(peers, addrs, &deltas).await;
+    peers.members().into_iter().filter(local).map(|m| m.addr).collect()
 }
 
-async fn push_to(peers: &Arc<Peers>, addrs: Vec<SocketAddr>, deltas: &IndexMap<String, DocDelta>) {
+async fn push_to(peers: &Arc<Peers>, addrs: Vec<SocketAddr>, deltas: &DocDeltas) {
     let (started, members) = (Instant::now(), addrs.len());
+    let encoded = match Encoded::new(deltas) {
+        Ok(encoded) => encoded,
+        Err(e) => return log::error!("cannot encode a change of documents: {e}"),
+    };
     let send = async |addr| {
         let Ok(link) = peers.link(addr).await else { return };
         let me = peers.opts.me.addr;
         if let Err(e) =
-            link.client.push(context_with_timeout(DOCS_TIMEOUT), me, deltas.clone()).await
+            link.client.push(context_with_timeout(DOCS_TIMEOUT), me, encoded.clone()).await
         {
             // the peer fetches the documents after a heartbeat with newer versions
             log::debug!("cannot push documents to peer {addr}: {e}");
@@ -185,7 +199,8 @@
     let entries: usize = deltas.values().map(|delta| delta.put.len() + delta.gone.len()).sum();
     let bytes: usize = deltas.values().map(DocDelta::bytes).sum();
     let took_ms = started.elapsed().as_millis() as u64;
-    log::info!(members, entries, bytes, took_ms; "documents pushed");
+    let compressed_bytes = encoded.compressed_bytes();
+    log::info!(members, entries, bytes, compressed_bytes, took_ms; "documents pushed");
 }
 
 /// Tells all known members that this instance is leaving.
--- a/src/transport/peers/mod.rs
+++ b/src/transport/peers/mod.rs
@@ -17,7 +17,9 @@
 
 use crate::coordination::gatherers::role;
 use crate::coordination::shares::Role;
-use crate::protocol::peer::{Heartbeat, Hello, PROTOCOL_VERSION};
+use crate::protocol::encoded::Encoded;
+use crate::protocol::frames::FrameError;
+use crate::protocol::peer::{DocDeltas, Heartbeat, Hello, PROTOCOL_VERSION};
 use crate::state::docs::{ApplyOutcome, Doc, DocDelta, DocStore};
 use crate::state::members::{Member, Members, NEWCOMER_TIME};
 use crate::state::time::Tick;
@@ -54,6 +56,8 @@
     pub(crate) faults: Faults,
     clock: Clock,
     docs: Mutex<DocStore>,
+    /// Documents as last sent whole to a peer, each with its version.
+    encoded_docs: Mutex<IndexMap<String, (u64, Encoded<Doc>)>>,
     members: Mutex<Members>,
     has_member_list: AtomicBool,
     can_watch: AtomicBool,
@@ -71,6 +75,7 @@
             faults: Faults::default(),
             clock: Clock::default(),
             docs: Mutex::default(),
+            encoded_docs: Mutex::default(),
             members: Mutex::default(),
             has_member_list: AtomicBool::new(false),
             can_watch: AtomicBool::new(true),
@@ -175,10 +180,7 @@
     }
 
     /// Stores documents from a peer; returns the updates of those that were newer.
-    pub(crate) fn apply_docs(
-        &self,
-        docs: IndexMap<String, Arc<Doc>>,
-    ) -> IndexMap<String, DocDelta> {
+    pub(crate) fn apply_docs(&self, docs: IndexMap<String, Arc<Doc>>) -> DocDeltas {
         let update = |(topic, doc): (String, Arc<Doc>)| {
             log::debug!("received {topic} version {} from a peer", doc.version);
             let delta = self.update_doc(&topic, doc)?;
@@ -200,11 +202,27 @@
         }
     }
 
+    /// Returns the documents that are newer than the versions in `have`; each version is encoded once.
     pub(crate) fn docs_newer_than(
         &self,
         have: &IndexMap<String, u64>,
-    ) -> IndexMap<String, Arc<Doc>> {
-        self.docs.lock().newer_than(have)
+    ) -> IndexMap<String, Encoded<Doc>> {
+        let newer = self.docs.lock().newer_than(have);
+        let encoded = newer.into_iter().map(|(topic, doc)| {
+            let mut cache = self.encoded_docs.lock();
+            if let Some((version, encoded)) = cache.get(&topic)
+                && *version == doc.version
+            {
+                return Ok((topic, encoded.clone()));
+            }
+            let encoded = Encoded::new(&*doc)?;
+            cache.insert(topic.clone(), (doc.version, encoded.clone()));
+            Ok((topic, encoded))
+        });
+        let encoded = encoded.filter_map(|result: Result<_, FrameError>| {
+            result.inspect_err(|e| log::error!("cannot encode a document: {e}")).ok()
+        });
+        encoded.collect()
     }
 
     pub(crate) fn versions(&self) -> IndexMap<String, u64> {
--- a/src/transport/peers/server.rs
+++ b/src/transport/peers/server.rs
@@ -16,10 +16,11 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::protocol::encoded::Encoded;
 use crate::protocol::frames::{FrameTransport, decode_batch, encode_batch};
 use crate::protocol::gather::{GatherRequest, GatherResult};
-use crate::protocol::peer::{Heartbeat, Hello, HelloReply, Peer};
-use crate::state::docs::{Doc, DocDelta};
+use crate::protocol::peer::{DocDeltas, Heartbeat, Hello, HelloReply, Peer};
+use crate::state::docs::Doc;
 use crate::state::time::Tick;
 use crate::transport::peers::{Peers, heartbeats, links};
 
@@ -112,17 +113,12 @@
         self,
         _: context::Context,
         have: IndexMap<String, u64>,
-    ) -> IndexMap<String, Arc<Doc>> {
+    ) -> IndexMap<String, Encoded<Doc>> {
         self.block_if_cut_off().await;
         self.peers.docs_newer_than(&have)
     }
 
-    async fn push(
-        self,
-        _: context::Context,
-        from: SocketAddr,
-        changes: IndexMap<String, DocDelta>,
-    ) {
+    async fn push(self, _: context::Context, from: SocketAddr, changes: Encoded<DocDeltas>) {
         self.block_if_cut_off().await;
         heartbeats::handle_push(&self.peers, from, &changes);
     }
