A divided request with too few shards that have a server is refused before it is sent

What callers saw: 502 without Retry-After, after some 80 servers had run each request in vain, where shards without a server were more than may be missing and spread over the ranges. An undivided request was refused at once, as not run.

Cause: availability was weighed for each range by its own ratio, which lets a range lack as many shards as the whole request; nothing weighed the whole.

Change: the instance that reads the request counts the shards with a listed server first. What servers asked of this instance does not count there, since gatherers may send to them.

--- a/src/coordination/reachability.rs
+++ b/src/coordination/reachability.rs
@@ -28,6 +28,12 @@
     }
 }
 
+/// Returns whether enough of `pools` have a server that is listed, whatever it asked this instance for; an instance that
+/// passes a request on may be refused less than it.
+pub fn has_servers(pools: &[PoolKey], min_shard_ratio: f64, view: &TopologyView) -> bool {
+    available_from(pools, min_shard_ratio, view, |_| Availability::Now) == Availability::Now
+}
+
 /// Returns when a request to one server of each of `pools` can be answered at the earliest, by what the servers asked for.
 ///
 /// A pool without servers is never available.
--- a/src/transport/callers/proxy.rs
+++ b/src/transport/callers/proxy.rs
@@ -9,6 +9,7 @@
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response};
 
+use crate::coordination::reachability::has_servers;
 use crate::coordination::round_robin::WeightedRoundRobin;
 use crate::coordination::scatter::ScatterOptions;
 use crate::coordination::top_records;
@@ -112,6 +113,11 @@
         };
         if let Target::Gather(gathering) = &route.target {
             self.tier.record_sharded_request(arrival.arrived_at);
+            if !has_servers(&gathering.shards, gathering.min_shard_ratio, &view) {
+                let id = job.id.as_str();
+                log::info!(request = id; "request refused because too few shards have a server");
+                return Err(not_run_reason(None));
+            }
             if let Some(result) = self.try_divide(gathering, route, &job, &view).await {
                 return result;
             }
