A range whose gatherer was asked for time is offered to the next one

All instances send a range to the same gatherer first, so retries did not help.

Cause: a gatherer that may send to too few servers ended the range as not run, which is final, although it had sent nothing and only its own notices forbade it. Class: a limit of one machine taken for one of all.

Change: it refuses the range before it accepts it (GatherRefusal::Unavailable), like a busy one; the next is tried, and after two the sender gathers it. The sender passes itself over in the same way.

Looked for elsewhere: an undivided request that is forwarded had the same fault and the same mend.

--- a/src/coordination/division.rs
+++ b/src/coordination/division.rs
@@ -138,7 +138,10 @@
         match why {
             GatherRefusal::Cut => self.cut += 1,
             GatherRefusal::Version | GatherRefusal::Unfit => self.no_gatherer_fits = true,
-            GatherRefusal::Late | GatherRefusal::Leaving | GatherRefusal::Busy => {}
+            GatherRefusal::Late
+            | GatherRefusal::Leaving
+            | GatherRefusal::Busy
+            | GatherRefusal::Unavailable => {}
         }
     }
 
--- a/src/coordination/gatherers.rs
+++ b/src/coordination/gatherers.rs
@@ -60,6 +60,8 @@
     Cut,
     /// It gathers as much as its processor allows.
     Busy,
+    /// Too few shards have a server that it may send a request now; servers may have asked it alone for time.
+    Unavailable,
     /// The request is invalid or does not match its routes.
     Unfit,
 }
@@ -68,7 +70,10 @@
     /// Returns how long the gatherer is excluded from selection.
     pub fn exclusion_time(self) -> Duration {
         match self {
-            GatherRefusal::Version | GatherRefusal::Unfit | GatherRefusal::Busy => Duration::ZERO,
+            GatherRefusal::Version
+            | GatherRefusal::Unfit
+            | GatherRefusal::Busy
+            | GatherRefusal::Unavailable => Duration::ZERO,
             GatherRefusal::Late | GatherRefusal::Leaving | GatherRefusal::Cut => EXCLUSION_TIME,
         }
     }
--- a/src/transport/callers/divide.rs
+++ b/src/transport/callers/divide.rs
@@ -114,8 +114,12 @@
         while let Some(peers) = &self.peers
             && refusals.next_step() == RangeStep::Offer
         {
-            let may_gather =
-                |m: &&Member| m.addr != peers.opts.me.addr || self.can_take(shards.len());
+            let pools = &gathering.shards[shards.clone()];
+            let may_gather = |m: &&Member| {
+                m.addr != peers.opts.me.addr
+                    || self.can_take(pools.len())
+                        && self.is_available(gathering, pools, view, self.tier.now())
+            };
             let preferred = division.preferred(index).filter(may_gather);
             let Some(Some(gatherer)) = peers.first_gatherer(preferred, &refused) else { break };
             match self.forward(&gatherer, (route, shards.clone()), job, view).await {
--- a/src/transport/callers/forward.rs
+++ b/src/transport/callers/forward.rs
@@ -16,8 +16,10 @@
     GatherContext, GatherRefusal, can_take, is_heavy, select_gatherers, shards_by_domain,
 };
 use crate::coordination::scatter::ScatterOptions;
+use crate::coordination::server_notices::Availability;
 use crate::protocol::codec::{CallerCodec, DeclineReason};
 use crate::protocol::gather::{GatherRequest, GatherResult, GatherScope, GatherTimes};
+use crate::state::arena::PoolKey;
 use crate::state::routes::{Route, ScatterGather, Target};
 use crate::state::time::Tick;
 use crate::state::topology::TopologyView;
@@ -48,7 +50,9 @@
             let shards = 0..gathering.shards.len();
             match self.forward(&gatherer, (route, shards), job, view).await {
                 Ok(result) => return Some(result.map(|parts| self.gathered_response(parts))),
-                Err(GatherRefusal::Busy) => refused.push(gatherer.addr()),
+                Err(GatherRefusal::Busy | GatherRefusal::Unavailable) => {
+                    refused.push(gatherer.addr());
+                }
                 Err(_) => break,
             }
         }
@@ -175,6 +179,9 @@
             return Err(GatherRefusal::Busy);
         }
         let now = self.tier.now();
+        if !self.is_available(gathering, shards, &view, now) {
+            return Err(GatherRefusal::Unavailable);
+        }
         let out = request.to_outgoing().map_err(|e| {
             log::warn!(request = request.id.as_str(); "invalid request from a peer: {e:#}");
             GatherRefusal::Unfit
@@ -207,6 +214,19 @@
         can_take(power, self.tier.shards_in_flight(), shard_count)
     }
 
+    /// Returns whether enough of some shards of a request have a server that this instance may send it now.
+    pub(crate) fn is_available(
+        &self,
+        gathering: &ScatterGather,
+        shards: &[PoolKey],
+        view: &TopologyView,
+        now: Tick,
+    ) -> bool {
+        let RangeRatios { min_shard_ratio, .. } =
+            range_ratios(gathering.min_shard_ratio, gathering.shards.len(), shards.len());
+        self.tier.available_from(shards, min_shard_ratio, view, now) == Availability::Now
+    }
+
     async fn gather_for_peer(
         self: Arc<Self>,
         request: GatherRequest,
