A shard that only the retry budget holds up is not waited for at the soft deadline

What callers saw: with four shards of a range lost while the budget is spent, the whole request was answered at the hard deadline (1,000 ms) in place of the soft one (120 ms), though enough shards had answered.

Change: open shards without a send in flight count as settled there; the minimum ratio holds as before.

Evidence: tests/division.rs drives Scatter and RangeProgress together for whole and divided requests: the case 'only the budget keeps them from being tried again' ended at 1,000 ms before, at 120 now.

--- a/src/coordination/scatter.rs
+++ b/src/coordination/scatter.rs
@@ -295,6 +295,9 @@
         let count = |state| self.shards.iter().filter(|s| s.state == state).count();
         let (answered, failed, all) =
             (count(ShardState::Answered), count(ShardState::Failed), self.shards.len());
+        // those that only the retry budget keeps from being sent again
+        let unsent = self.shards.iter().filter(|s| s.state == ShardState::Open && s.in_flight == 0);
+        let settled = answered + failed + unsent.count();
         let required = required_shards(self.opts.min_shard_ratio, all);
         let is_late = now >= self.opts.soft_deadline + LATE_DELAY;
         let soft_ratio =
@@ -302,7 +305,7 @@
         let soft_required = required_shards(soft_ratio, all);
         let is_final = answered + failed == all
             || now >= self.opts.hard_deadline
-            || (now >= self.opts.soft_deadline && answered + failed >= soft_required);
+            || (now >= self.opts.soft_deadline && settled >= soft_required);
         if answered >= required && is_final {
             Decision::Answer
         } else if all - failed < required || now >= self.opts.hard_deadline {
--- a/tests/division.rs
+++ b/tests/division.rs
@@ -9,8 +9,9 @@
 use rand::{RngExt, SeedableRng};
 use support::{ms, seeds};
 use tamarackdeck::{
-    Division, GatherContext, GatherRefusal, InstanceId, Member, RangeEnd, RangeProgress,
-    RangeRatios, RangeRefusals, RangeStep, RangesDecision, Tick, range_ratios,
+    Decision, Division, Fault, GatherContext, GatherRefusal, InstanceId, Key, Member, PoolKey,
+    RangeEnd, RangeProgress, RangeRatios, RangeRefusals, RangeStep, RangesDecision, Scatter,
+    ScatterContext, ScatterOptions, SendResult, ServerKey, Tick, range_ratios,
 };
 
 fn member((name, domain, power): &(&str, &str, u32)) -> Member {
@@ -542,3 +543,171 @@
         }
     }
 }
+
+/// A number of servers for each shard, and a budget that is spent.
+struct SpentBudget {
+    servers: u32,
+}
+
+impl ScatterContext for SpentBudget {
+    fn pick_server(&mut self, pool: PoolKey, avoid: &[ServerKey], _: Tick) -> Option<ServerKey> {
+        let key = |n| ServerKey::new(pool.index() as u32 * 10 + n, 0);
+        (0..self.servers).map(key).find(|key| !avoid.contains(key))
+    }
+
+    fn record_request(&mut self, _: PoolKey, _: Tick) {}
+
+    fn try_acquire_extra(&mut self, _: PoolKey, _: Tick) -> bool {
+        false
+    }
+
+    fn hedge_delay(&mut self, _: ServerKey) -> Duration {
+        Duration::from_secs(10)
+    }
+
+    fn dispatched_at(&self, _: usize) -> Option<Tick> {
+        Some(ms(0))
+    }
+
+    fn record_overdue(&mut self, _: ServerKey, _: Tick) {}
+}
+
+/// What some shards of a request do; the others answer after 50 ms.
+#[derive(Clone, Copy)]
+struct ShardEnds {
+    /// Their indices.
+    shards: &'static [usize],
+    /// When they end, in milliseconds.
+    at: u64,
+    result: SendResult,
+}
+
+/// A request to 180 shards, of which 9 may be missing, with a soft deadline at 120 ms.
+struct DividedCase {
+    name: &'static str,
+    /// Number of servers of each shard; the second one takes a budget that is spent.
+    servers: u32,
+    ends: &'static [ShardEnds],
+    /// When it is answered, in milliseconds, if one instance gathers all shards.
+    whole_at: u64,
+    /// When it is answered at the latest if it is divided in six ranges: all shards that can answer have by then.
+    divided_by: u64,
+}
+
+const LOST: SendResult = SendResult::Failed(Fault::Lost);
+
+const DIVIDED: &[DividedCase] = &[
+    DividedCase {
+        name: "one shard of each range is late",
+        servers: 1,
+        ends: &[ShardEnds {
+            shards: &[0, 30, 60, 90, 120, 150],
+            at: 150,
+            result: SendResult::Answered,
+        }],
+        whole_at: 120,
+        divided_by: 120,
+    },
+    DividedCase {
+        name: "four shards of a range have failed and one of it is late",
+        servers: 1,
+        ends: &[
+            ShardEnds { shards: &[0, 1, 2, 3], at: 5, result: LOST },
+            ShardEnds { shards: &[4], at: 150, result: SendResult::Answered },
+        ],
+        whole_at: 120,
+        divided_by: 150,
+    },
+    DividedCase {
+        name: "four shards of a range have failed and one of each range is late",
+        servers: 1,
+        ends: &[
+            ShardEnds { shards: &[0, 1, 2, 3], at: 5, result: LOST },
+            ShardEnds { shards: &[4, 30, 60, 90, 120, 150], at: 150, result: SendResult::Answered },
+        ],
+        whole_at: 150,
+        divided_by: 150,
+    },
+    DividedCase {
+        name: "four shards of a range were lost, and only the budget keeps them from being tried again",
+        servers: 2,
+        ends: &[ShardEnds { shards: &[0, 1, 2, 3], at: 5, result: LOST }],
+        whole_at: 120,
+        divided_by: 150,
+    },
+];
+
+/// Runs the state machine of some shards; returns when it ends, and how.
+fn run_range(
+    case: &DividedCase,
+    shards: std::ops::Range<usize>,
+    ratios: RangeRatios,
+) -> (Tick, RangeEnd) {
+    let RangeRatios { min_shard_ratio, soft_shard_ratio, late_shard_ratio } = ratios;
+    let opts = ScatterOptions {
+        shards: shards.clone().map(|n| PoolKey::new(n as u32, 0)).collect(),
+        max_attempts: 2,
+        idempotent: true,
+        min_shard_ratio,
+        soft_shard_ratio,
+        late_shard_ratio,
+        soft_deadline: ms(SOFT_MS as u64),
+        hard_deadline: ms(HARD_MS as u64),
+    };
+    let mut servers = SpentBudget { servers: case.servers };
+    let (mut scatter, sends) = Scatter::start(opts, &mut servers, ms(0));
+    let end_of = |shard: usize| {
+        let special = case.ends.iter().find(|e| e.shards.contains(&shard));
+        special.map_or((50, SendResult::Answered), |e| (e.at, e.result))
+    };
+    let mut ends: Vec<_> =
+        sends.iter().map(|s| (end_of(shards.start + s.shard), s.shard, s.server)).collect();
+    ends.sort_by_key(|((at, _), ..)| *at);
+    let mut ends = ends.into_iter().peekable();
+    let mut now = ms(0);
+    loop {
+        while let Some(((_, result), shard, server)) = ends.next_if(|((at, _), ..)| ms(*at) <= now)
+        {
+            scatter.record_result((shard, server), result, &mut servers, now);
+        }
+        scatter.hedge_overdue(&mut servers, now);
+        match scatter.decision(now) {
+            Decision::Answer => {
+                let missing = scatter.missing_shards().len();
+                return (now, RangeEnd::Gathered { missing });
+            }
+            Decision::GiveUp { .. } => return (now, RangeEnd::GivenUp { late: false }),
+            Decision::Wait => {}
+        }
+        let next_end = ends.peek().map(|((at, _), ..)| ms(*at));
+        now = scatter.next_wake(now).min(next_end.unwrap_or(ms(HARD_MS as u64)));
+    }
+}
+
+#[test]
+fn a_divided_request_is_answered_where_an_undivided_one_is() {
+    let mut failures = Vec::new();
+    for case in DIVIDED {
+        let whole = range_ratios(0.95, 180, 180);
+        let (at, end) = run_range(case, 0..180, whole);
+        assert!(matches!(end, RangeEnd::Gathered { .. }), "{}: {end:?}", case.name);
+        assert_eq!(at, ms(case.whole_at), "{}", case.name);
+        let range = |n: usize| run_range(case, 30 * n..30 * (n + 1), range_ratios(0.95, 180, 30));
+        let mut ends: Vec<_> = (0..6).map(range).collect();
+        ends.sort_by_key(|(at, _)| *at);
+        let mut progress = RangeProgress::new(180, 0.95, ms(SOFT_MS as u64));
+        let decision = ends.iter().find_map(|(at, end)| {
+            progress.record(30, *end, *at);
+            let decision = progress.decision(*at);
+            (decision != RangesDecision::Wait).then_some((decision, at.0 / 1_000))
+        });
+        println!("case: {}: {decision:?}", case.name);
+        let is_answered =
+            decision.is_some_and(|(d, at)| d == RangesDecision::Answer && at <= case.divided_by);
+        if !is_answered {
+            println!("failed: {}: {decision:?}, ranges end {ends:?}", case.name);
+            failures.push(case.name);
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
