An ejected server whose probe is aborted is probed again

What callers would see: a server that had failed three requests got none any more, however well it was, when its one probe ended without a result: another server answered first, the caller left, or no connection was free in time. Its load went to the other replicas until all of those were excluded too. A failure domain stayed excluded until a connection to it was opened by the background probes.

Cause: `record_send` set `probe_in_flight`, and only an answer, a failure or a refusal cleared it. Dropping the task of a send, or a send that was never dispatched, cleared nothing. Class: a state that is entered at the start of some work and left only on some of its ends.

Change: `record_send` returns the `Probe`, which belongs to the send. Guards give it back when they are dropped: the one that counts requests in flight for a server, and `DomainProbe` from the choice of a server on for a failure domain (a server is chosen before its send begins). A server's probe without a result repeats the wait before it, which does not grow; so a server that hangs is not probed all the time. A domain's counts as failed, as any answer would have ended the ejection. Probes are numbered, so that the late end of one does not end the next one's.

The same cause was looked for in counts of requests, gathers and shards in flight (guards), the memory for replies, warming and gatherers (windows of time), and permits of connections (guards): not found.

--- a/src/coordination/domain_health.rs
+++ b/src/coordination/domain_health.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use crate::coordination::outlier::OutlierDetector;
+use crate::coordination::outlier::{OutlierDetector, Probe};
 use crate::state::time::Tick;
 
 /// Consecutive misses after which a domain counts as unresponsive.
@@ -63,9 +63,14 @@
         self.outlier.can_send(true, now)
     }
 
-    /// Records a request sent to the domain.
-    pub fn record_send(&mut self) {
-        self.outlier.record_send();
+    /// Records a request sent to the domain, which may be the probe.
+    pub fn record_send(&mut self) -> Option<Probe> {
+        self.outlier.record_send()
+    }
+
+    /// Records the end of a probe. Any answer ends the ejection, so one that is still in flight then had none.
+    pub fn end_probe(&mut self, probe: Probe, now: Tick) {
+        self.outlier.end_or_fail_probe(probe, now);
     }
 
     /// Returns whether the domain is unresponsive.
--- a/src/coordination/outlier.rs
+++ b/src/coordination/outlier.rs
@@ -12,13 +12,25 @@
 /// Maximum time between two probes.
 const MAX_EJECTION_TIME: Duration = Duration::from_secs(3);
 
+/// The request in flight to an ejected upstream that decides whether the ejection ends.
+///
+/// No other one is sent before it has ended, so its owner returns it to the detector however the request ends.
+#[derive(Debug)]
+#[must_use]
+pub struct Probe {
+    number: u32,
+}
+
 /// The health of an upstream, judged by recent requests.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct OutlierDetector {
     failures: u32,
     ejections: u32,
     retry_at: Option<Tick>,
-    probe_in_flight: bool,
+    /// Number of the probe in flight.
+    probe: Option<u32>,
+    /// Probes so far.
+    probe_count: u32,
 }
 
 impl OutlierDetector {
@@ -29,48 +41,80 @@
 
     /// Returns whether a request may be sent; an ejected upstream gets one idempotent probe at a time.
     pub fn can_send(&self, idempotent: bool, now: Tick) -> bool {
-        self.retry_at.is_none_or(|at| idempotent && !self.probe_in_flight && at <= now)
+        self.retry_at.is_none_or(|at| idempotent && self.probe.is_none() && at <= now)
+    }
+
+    /// Records a sent request, which is the probe if the upstream is ejected and none is in flight.
+    pub fn record_send(&mut self) -> Option<Probe> {
+        if !self.is_ejected() || self.probe.is_some() {
+            return None;
+        }
+        self.probe_count = self.probe_count.wrapping_add(1);
+        self.probe = Some(self.probe_count);
+        Some(Probe { number: self.probe_count })
     }
 
-    /// Records a sent request, which is the probe if the upstream is ejected.
-    pub fn record_send(&mut self) {
-        self.probe_in_flight = self.is_ejected();
+    /// Records the end of a probe. One without a result repeats the wait before it.
+    pub fn end_probe(&mut self, probe: Probe, now: Tick) {
+        if self.is_in_flight(&probe) {
+            self.probe = None;
+            self.retry_at = self.retry_at.map(|at| if at <= now { now + self.wait() } else { at });
+        }
+    }
+
+    /// Records the end of a probe; one without a result counts as failed.
+    pub fn end_or_fail_probe(&mut self, probe: Probe, now: Tick) {
+        if self.is_in_flight(&probe) {
+            self.record_failure(now);
+        }
+    }
+
+    /// Returns whether a probe has had no result yet.
+    fn is_in_flight(&self, probe: &Probe) -> bool {
+        self.probe == Some(probe.number)
     }
 
     /// Records an answer, which ends an ejection; returns whether the upstream was ejected.
     pub fn record_answer(&mut self) -> bool {
         let was_ejected = self.is_ejected();
-        *self = Self::default();
+        *self = Self { probe_count: self.probe_count, ..Self::default() };
         was_ejected
     }
 
     /// Records a request whose end says nothing about the upstream's health.
     pub fn record_neutral(&mut self) {
-        self.probe_in_flight = false;
+        self.probe = None;
     }
 
     /// Ejects the upstream at once, for instance because another upstream has its address.
     pub fn eject(&mut self, now: Tick) {
-        self.failures = self.failures.max(EJECT_FAILURES - 1);
-        self.probe_in_flight = self.is_ejected();
-        self.record_failure(now);
+        self.failures = self.failures.saturating_add(1).max(EJECT_FAILURES);
+        self.start_ejection(now);
     }
 
     /// Records a failure; returns whether it ejected the upstream.
     pub fn record_failure(&mut self, now: Tick) -> bool {
-        self.failures += 1;
+        self.failures = self.failures.saturating_add(1);
         let was_ejected = self.is_ejected();
-        if was_ejected && !self.probe_in_flight {
+        if was_ejected && self.probe.is_none() {
             return false; // sent before the ejection
         }
-        self.probe_in_flight = false;
         if self.failures < EJECT_FAILURES {
             return false;
         }
-        let wait =
-            BASE_EJECTION_TIME.saturating_mul(1 << self.ejections.min(8)).min(MAX_EJECTION_TIME);
-        self.ejections += 1;
-        self.retry_at = Some(now + wait);
+        self.start_ejection(now);
         !was_ejected
     }
+
+    fn start_ejection(&mut self, now: Tick) {
+        self.probe = None;
+        self.ejections = self.ejections.saturating_add(1);
+        self.retry_at = Some(now + self.wait());
+    }
+
+    /// Returns the time from the last ejection, or failed probe, to the next probe.
+    fn wait(&self) -> Duration {
+        let doublings = self.ejections.saturating_sub(1).min(8);
+        BASE_EJECTION_TIME.saturating_mul(1 << doublings).min(MAX_EJECTION_TIME)
+    }
 }
--- a/src/coordination/server_stats.rs
+++ b/src/coordination/server_stats.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::coordination::outlier::OutlierDetector;
+use crate::coordination::outlier::{OutlierDetector, Probe};
 use crate::coordination::server_notices::{Notice, ServerNotices};
 use crate::coordination::shares::ColdLimiter;
 use crate::state::arena::ServerKey;
@@ -44,6 +44,13 @@
     pub notice: Notice,
 }
 
+/// A request in flight to a server, which ends with [`ServerStats::record_end`].
+#[derive(Debug)]
+pub struct Sent {
+    sent_at: Tick,
+    probe: Option<Probe>,
+}
+
 /// Statistics of one run of one server.
 #[derive(Clone, Debug, Default)]
 pub struct ServerStats {
@@ -69,16 +76,19 @@
 
 impl ServerStats {
     /// Records a sent request.
-    pub fn record_send(&mut self, now: Tick) {
+    pub fn record_send(&mut self, now: Tick) -> Sent {
         self.in_flight.push(now);
-        self.outlier.record_send();
+        Sent { sent_at: now, probe: self.outlier.record_send() }
     }
 
-    /// Records the end of the request sent at `sent`, with any result.
-    pub fn record_end(&mut self, sent: Tick) {
-        if let Some(index) = self.in_flight.iter().position(|t| *t == sent) {
+    /// Records the end of a request, with any result or none.
+    pub fn record_end(&mut self, ended: Sent, now: Tick) {
+        if let Some(index) = self.in_flight.iter().position(|t| *t == ended.sent_at) {
             self.in_flight.swap_remove(index);
         }
+        if let Some(probe) = ended.probe {
+            self.outlier.end_probe(probe, now);
+        }
     }
 
     /// Records an answer that took `took`, where `usual` is the usual answer time of the route.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,7 +33,7 @@
 pub use coordination::once::{
     Claim, ClaimAction, Step, WriteOutcome, settle_claim, step_after_create, step_after_read,
 };
-pub use coordination::outlier::OutlierDetector;
+pub use coordination::outlier::{OutlierDetector, Probe};
 pub use coordination::peer_clock::{MAX_CLOCK_ERROR, PeerClock};
 pub use coordination::query::{Answer, MissingReason};
 pub use coordination::reachability::{available_from, is_unreachable};
@@ -46,7 +46,7 @@
 pub use coordination::server_notices::{
     Availability, MAX_BACKOFF, Notice, NoticeMemory, RunId, SendPermit, ServerNotices,
 };
-pub use coordination::server_stats::{Candidate, RunReport, ServerStats, pick_server};
+pub use coordination::server_stats::{Candidate, RunReport, Sent, ServerStats, pick_server};
 pub use coordination::shares::{ColdLimiter, Role, connection_share};
 pub use coordination::sliding_window::SlidingWindow;
 pub use coordination::snapshot::choose_snapshot;
--- a/src/transport/upstreams/context.rs
+++ b/src/transport/upstreams/context.rs
@@ -13,7 +13,7 @@
 use crate::state::arena::{PoolKey, RouteKey, ServerKey};
 use crate::state::time::Tick;
 use crate::state::topology::{Server, TopologyView};
-use crate::transport::upstreams::send::Dispatches;
+use crate::transport::upstreams::send::{Dispatches, DomainProbe};
 use crate::transport::upstreams::tier::{RouteStats, ServerState, Tier};
 
 /// Cost of opening a connection in addition to its round trip, in usual answer times: both ends work for it, and the server
@@ -74,20 +74,28 @@
 
 /// The scatter context of one request.
 pub(crate) struct TierContext<'a> {
-    pub(crate) tier: &'a Tier,
+    pub(crate) tier: &'a Arc<Tier>,
     pub(crate) view: &'a TopologyView,
     pub(crate) times: AnswerTimes,
     pub(crate) dispatches: Arc<Dispatches>,
     /// Whether the request is sharded.
     pub(crate) is_sharded: bool,
+    /// Probes of failure domains whose sends have not begun, by the server chosen.
+    pub(crate) domain_probes: Vec<(ServerKey, DomainProbe)>,
 }
 
 impl<'a> TierContext<'a> {
     /// Builds the context of no request, to choose servers of a sharded route.
-    pub(crate) fn unsent(tier: &'a Tier, view: &'a TopologyView, route: RouteKey) -> Self {
+    pub(crate) fn unsent(tier: &'a Arc<Tier>, view: &'a TopologyView, route: RouteKey) -> Self {
         let times = AnswerTimes::estimate(tier, route, Duration::ZERO, 0.0);
         let dispatches = Arc::new(Dispatches::new(0));
-        Self { tier, view, times, dispatches, is_sharded: true }
+        Self { tier, view, times, dispatches, is_sharded: true, domain_probes: Vec::new() }
+    }
+
+    /// Takes the probe of a failure domain that a send to this server is, if it is one.
+    pub(crate) fn take_domain_probe(&mut self, key: ServerKey) -> Option<DomainProbe> {
+        let index = self.domain_probes.iter().position(|(server, _)| *server == key)?;
+        Some(self.domain_probes.swap_remove(index).1)
     }
 
     /// Returns the servers of a pool that are not in `avoid`.
@@ -154,7 +162,8 @@
         let candidates = self.candidates(pool, avoid, now);
         let key = pick_server(&candidates, !avoid.is_empty(), || rand::rng().random())?;
         let server = self.view.server(key)?;
-        self.tier.with_domain(&server.report.domain, |d| d.record_send());
+        let domain_probe = DomainProbe::record_send(self.tier, &server.report.domain);
+        self.domain_probes.extend(domain_probe.map(|probe| (key, probe)));
         self.tier.servers.with(key, |state| state.stats.cold.record_send(now));
         Some(key)
     }
--- a/src/transport/upstreams/run.rs
+++ b/src/transport/upstreams/run.rs
@@ -95,8 +95,14 @@
         dispatches: Arc::new(Dispatches::new(opts.shards.len())),
         hard_deadline: opts.hard_deadline,
     };
-    let context =
-        TierContext { tier, view, times, dispatches: request.dispatches.clone(), is_sharded };
+    let context = TierContext {
+        tier,
+        view,
+        times,
+        dispatches: request.dispatches.clone(),
+        is_sharded,
+        domain_probes: Vec::new(),
+    };
     let driver = Driver {
         tier,
         context,
@@ -192,12 +198,15 @@
         log::info!(request = id, shard, server, overdue_ms; "hedged");
     }
 
-    fn spawn_sends(&self, sends: impl IntoIterator<Item = ShardSend>, in_flight: &mut Sends) {
+    fn spawn_sends(&mut self, sends: impl IntoIterator<Item = ShardSend>, in_flight: &mut Sends) {
         for ShardSend { shard, server } in sends {
             self.request.dispatches.clear_time(shard);
             let (tier, request) = (self.tier.clone(), self.request.clone());
-            in_flight
-                .spawn(async move { ((shard, server), send(tier, request, shard, server).await) });
+            let domain_probe = self.context.take_domain_probe(server);
+            in_flight.spawn(async move {
+                let _domain_probe = domain_probe;
+                ((shard, server), send(tier, request, shard, server).await)
+            });
         }
     }
 
--- a/src/transport/upstreams/send.rs
+++ b/src/transport/upstreams/send.rs
@@ -12,8 +12,10 @@
 use tokio::time::timeout;
 
 use crate::coordination::attempt::{Attempt, Fault, NotRunCode, Outcome, Pending};
+use crate::coordination::outlier::Probe;
 use crate::coordination::scatter::SendResult;
 use crate::coordination::server_notices::SendPermit;
+use crate::coordination::server_stats::Sent;
 use crate::protocol::codec::{OutgoingRequest, ResponseHead};
 use crate::state::arena::ServerKey;
 use crate::state::time::Tick;
@@ -148,18 +150,50 @@
 }
 
 /// Counts a request as in flight to a server until dropped.
-struct InFlightGuard<'a>(&'a Tier, ServerKey, Tick);
+struct InFlightGuard<'a> {
+    tier: &'a Tier,
+    key: ServerKey,
+    in_flight: Option<Sent>,
+}
 
 impl<'a> InFlightGuard<'a> {
     fn new(tier: &'a Tier, key: ServerKey, now: Tick) -> Self {
-        tier.servers.with_or_insert(key, ServerState::default, |s| s.stats.record_send(now));
-        Self(tier, key, now)
+        let record = |s: &mut ServerState| s.stats.record_send(now);
+        let in_flight = tier.servers.with_or_insert(key, ServerState::default, record);
+        Self { tier, key, in_flight: Some(in_flight) }
     }
 }
 
 impl Drop for InFlightGuard<'_> {
     fn drop(&mut self) {
-        self.0.servers.with(self.1, |s| s.stats.record_end(self.2));
+        if let Some(ended) = self.in_flight.take() {
+            let now = self.tier.now();
+            self.tier.servers.with(self.key, |s| s.stats.record_end(ended, now));
+        }
+    }
+}
+
+/// The probe of an unresponsive failure domain, which ends when dropped.
+pub(crate) struct DomainProbe {
+    tier: Arc<Tier>,
+    domain: String,
+    probe: Option<Probe>,
+}
+
+impl DomainProbe {
+    /// Records a request that will be sent to a failure domain; returns the probe if the request is one.
+    pub(crate) fn record_send(tier: &Arc<Tier>, domain: &str) -> Option<Self> {
+        let probe = tier.with_domain(domain, |d| d.record_send())?;
+        Some(Self { tier: tier.clone(), domain: domain.to_owned(), probe: Some(probe) })
+    }
+}
+
+impl Drop for DomainProbe {
+    fn drop(&mut self) {
+        if let Some(probe) = self.probe.take() {
+            let now = self.tier.now();
+            self.tier.with_domain(&self.domain, |d| d.end_probe(probe, now));
+        }
     }
 }
 
--- a/tests/server_notices.rs
+++ b/tests/server_notices.rs
@@ -7,8 +7,8 @@
 use support::ms;
 use tamarackdeck::{
     Availability, Candidate, Key, MAX_BACKOFF, NameInterner, NotRunCode, Notice, NoticeMemory,
-    PoolKey, ReturnTimes, RunId, RunReport, ServerKey, ServerNotices, ServerReport, ServerStats,
-    ServiceShare, Tick, Topology, available_from, pick_server,
+    PoolKey, ReturnTimes, RunId, RunReport, Sent, ServerKey, ServerNotices, ServerReport,
+    ServerStats, ServiceShare, Tick, Topology, available_from, pick_server,
 };
 
 const LEAVING: Notice = Notice { draining: true, backoff: None };
@@ -328,23 +328,19 @@
     for case in PRESSURE {
         let usual = Duration::from_millis(10);
         let mut servers: Vec<ServerStats> = vec![ServerStats::default(); 3];
-        let (mut arrivals, mut ends) = (0, Vec::<(u64, usize, u64)>::new());
+        let (mut arrivals, mut ends) = (0, Vec::<(u64, usize, u64, Sent)>::new());
         for at in 0..3_000 {
-            ends.retain(|(end, server, sent)| {
-                if *end > at {
-                    return true;
-                }
-                let stats = &mut servers[*server];
-                stats.record_end(ms(*sent));
-                if *server == 0 && (500..1_500).contains(sent) {
+            for (_, server, sent, request) in ends.extract_if(.., |(end, ..)| *end <= at) {
+                let stats = &mut servers[server];
+                if server == 0 && (500..1_500).contains(&sent) {
                     stats.record_shed(ms(at));
                     let notice = backoff(1_500 - sent);
                     stats.record_run(RunReport { notice, ..RunReport::default() }, usual, ms(at));
                 } else {
                     stats.record_answer(Duration::from_millis(at - sent), usual, ms(at));
                 }
-                false
-            });
+                stats.record_end(request, ms(at));
+            }
             let candidates: Vec<Candidate> = (0..servers.len() as u32)
                 .map(|n| {
                     let stats = &servers[n as usize];
@@ -358,9 +354,9 @@
                 })
                 .collect();
             let server = pick_server(&candidates, false, || 0.5).unwrap().index();
-            servers[server].record_send(ms(at));
+            let request = servers[server].record_send(ms(at));
             arrivals += u32::from(server == 0 && (1_000..1_500).contains(&at));
-            ends.push((at + 3 * servers[server].in_flight() as u64, server, at));
+            ends.push((at + 3 * servers[server].in_flight() as u64, server, at, request));
         }
         assert!(case.arrivals.contains(&arrivals), "{}: {arrivals}", case.name);
     }
