After a pause one fetch of documents is in flight, not one for each heartbeat

What operators would see: after an instance was suspended or cut off, the members of highest rank, which all others send heartbeats to, fetched the same whole documents once for each heartbeat that had shown them ('documents fetched' a dozen times within a second), on links and processors that requests need then.

Cause: each heartbeat that showed newer versions waited for 0.8 s in a task of its own and then fetched; those whose time ended while a fetch was in flight found the instance behind still. Each push that could not be applied started a fetch too. Class: a repair that is started by each sign of one fault.

Change: heartbeats and failed pushes record what the peer offers (`DocOffers`), and a single task, which belongs to the heartbeats, fetches from one peer at a time and drops the offers that are not newer any more. One task needs no mark of a fetch in flight that could be left behind. The peer heard last goes first, as it is the most likely to be reached; a peer has one offer that is due. The deltas from another domain are pushed on beside it, so that a member that does not answer holds up no fetch. What it costs: a fetch that hangs (3 s at most, as before) now holds up the next one.

Evidence: tests/doc_fetch.rs.

The same cause was looked for in pings of links (one unanswered at a time: not found) and the opening of links (one at a time for each peer, but each caller that waited repeats an attempt that failed: not changed).

--- a/src/transport/peers/heartbeats.rs
+++ b/src/transport/peers/heartbeats.rs
@@ -9,8 +9,9 @@
 use rand::RngExt;
 use rand::seq::{IndexedRandom, IteratorRandom};
 use tarpc::context;
+use tokio::task::JoinSet;
 
-use crate::coordination::doc_fetch::fetch_delay;
+use crate::coordination::doc_fetch::FetchStep;
 use crate::protocol::peer::Heartbeat;
 use crate::state::docs::DocDelta;
 use crate::state::members::Member;
@@ -32,8 +33,10 @@
 /// that the next in rank notices when the platform watcher fails. One random other gets one too.
 const RANKED_LOCAL_TARGETS: usize = 2;
 
-/// Sends heartbeats until the task is aborted.
+/// Sends heartbeats, and fetches documents that peers show to be newer, until the task is aborted.
 pub async fn run(peers: Arc<Peers>) {
+    let mut fetching = JoinSet::new(); // aborts the task when dropped
+    fetching.spawn(fetch_offered_docs(peers.clone()));
     let mut round = 0u64;
     loop {
         let started = Instant::now();
@@ -88,32 +91,31 @@
     {
         link.record_response(Some(sent_at.elapsed()));
         peers.record_heartbeat(&reply);
-        if peers.is_behind(&reply.versions) {
-            fetch_missed_docs(&peers, addr, &reply.versions).await;
-        }
+        peers.offer_docs(addr, &reply.versions);
     }
 }
 
-/// Answers a heartbeat from a peer, and fetches its documents if they are newer.
+/// Answers a heartbeat from a peer, whose documents are fetched if they are newer and no push brings them.
 ///
 /// The answer lists the members if the peer lacks the document of any topic.
 pub(crate) fn handle_heartbeat(peers: &Arc<Peers>, heartbeat: &Heartbeat) -> Heartbeat {
     peers.record_heartbeat(heartbeat);
-    if peers.is_behind(&heartbeat.versions) {
-        let (peers, addr) = (peers.clone(), heartbeat.from.addr);
-        let versions = heartbeat.versions.clone();
-        tokio::spawn(async move { fetch_missed_docs(&peers, addr, &versions).await });
-    }
+    peers.offer_docs(heartbeat.from.addr, &heartbeat.versions);
     let lacks_topic = peers.versions().keys().any(|topic| !heartbeat.versions.contains_key(topic));
     peers.heartbeat(if lacks_topic { peers.members() } else { Vec::new() })
 }
 
-/// Fetches newer documents of a peer, unless pushes bring the same `versions` in time.
-async fn fetch_missed_docs(peers: &Arc<Peers>, addr: SocketAddr, versions: &IndexMap<String, u64>) {
-    let lacks_doc = versions.keys().any(|topic| peers.doc(topic).is_none());
-    tokio::time::sleep(fetch_delay(lacks_doc)).await;
-    if peers.is_behind(versions) {
-        fetch_docs(peers, addr).await;
+/// Fetches the documents that peers have shown to be newer, one fetch at a time.
+async fn fetch_offered_docs(peers: Arc<Peers>) {
+    loop {
+        match peers.next_fetch_step() {
+            FetchStep::Fetch(addr) => fetch_docs(&peers, addr).await,
+            FetchStep::WaitUntil(due) => tokio::select! {
+                () = peers.sleep_until(due) => {}
+                () = peers.docs_offered.notified() => {}
+            },
+            FetchStep::Idle => peers.docs_offered.notified().await,
+        }
     }
 }
 
@@ -127,23 +129,23 @@
         let is_remote =
             !peers.members().iter().any(|m| m.addr == addr && m.domain == peers.opts.me.domain);
         if is_remote && !deltas.is_empty() {
-            push_local(peers, deltas).await;
+            let peers = peers.clone();
+            tokio::spawn(async move { push_local(&peers, deltas).await });
         }
     }
 }
 
-/// Applies deltas pushed by a peer; fetches its newer documents if any delta has another base.
+/// Applies deltas pushed by a peer; its newer documents are fetched if any delta has another base.
 pub(crate) fn handle_push(
     peers: &Arc<Peers>,
     from: SocketAddr,
     deltas: &IndexMap<String, DocDelta>,
 ) {
-    let all_applied = deltas
-        .iter()
-        .fold(true, |applied, (topic, delta)| peers.apply_delta(topic, delta) && applied);
-    if !all_applied {
-        let peers = peers.clone();
-        tokio::spawn(async move { fetch_docs(&peers, from).await });
+    let failed = deltas.iter().filter(|(topic, delta)| !peers.apply_delta(topic, delta));
+    let versions: IndexMap<String, u64> =
+        failed.map(|(topic, delta)| (topic.clone(), delta.version)).collect();
+    if !versions.is_empty() {
+        peers.offer_missed_docs(from, versions);
     }
 }
 
--- a/src/transport/peers/mod.rs
+++ b/src/transport/peers/mod.rs
@@ -14,7 +14,9 @@
 
 use indexmap::IndexMap;
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 
+use crate::coordination::doc_fetch::{DocOffers, FetchStep};
 use crate::coordination::gatherers::role;
 use crate::coordination::shares::Role;
 use crate::protocol::peer::{Heartbeat, Hello, PROTOCOL_VERSION};
@@ -54,6 +56,9 @@
     pub(crate) faults: Faults,
     clock: Clock,
     docs: Mutex<DocStore>,
+    doc_offers: Mutex<DocOffers>,
+    /// Notified of new offers of documents.
+    pub(crate) docs_offered: Notify,
     members: Mutex<Members>,
     has_member_list: AtomicBool,
     can_watch: AtomicBool,
@@ -71,6 +76,8 @@
             faults: Faults::default(),
             clock: Clock::default(),
             docs: Mutex::default(),
+            doc_offers: Mutex::default(),
+            docs_offered: Notify::default(),
             members: Mutex::default(),
             has_member_list: AtomicBool::new(false),
             can_watch: AtomicBool::new(true),
@@ -211,8 +218,34 @@
         self.docs.lock().versions()
     }
 
-    pub(crate) fn is_behind(&self, versions: &IndexMap<String, u64>) -> bool {
-        self.docs.lock().is_behind(versions)
+    /// Offers documents of a peer with the versions that its heartbeat shows, if they are newer than those held here.
+    pub(crate) fn offer_docs(&self, peer: SocketAddr, versions: &IndexMap<String, u64>) {
+        let lacks_doc = {
+            let docs = self.docs.lock();
+            if !docs.is_behind(versions) {
+                return;
+            }
+            versions.keys().any(|topic| docs.get(topic).is_none())
+        };
+        let now = self.now();
+        self.doc_offers.lock().record_heartbeat(peer, versions.clone(), lacks_doc, now);
+        self.docs_offered.notify_one();
+    }
+
+    /// Offers documents of a peer whose push could not be applied here.
+    pub(crate) fn offer_missed_docs(&self, peer: SocketAddr, versions: IndexMap<String, u64>) {
+        self.doc_offers.lock().record_failed_push(peer, versions);
+        self.docs_offered.notify_one();
+    }
+
+    /// Returns what the task that fetches documents does next.
+    pub(crate) fn next_fetch_step(&self) -> FetchStep {
+        let is_behind = |versions: &IndexMap<String, u64>| self.docs.lock().is_behind(versions);
+        self.doc_offers.lock().next_step(is_behind, self.now())
+    }
+
+    pub(crate) async fn sleep_until(&self, at: Tick) {
+        self.clock.sleep_until(at).await;
     }
 
     /// Builds a heartbeat of this instance.
