Each message to a peer is encoded once

What operators would see: processor time on instances that send large messages to a peer, such as answers of ranges and documents: what was ready together was encoded whole, again for each halving until it fitted a frame, and what did not fit again for the next frame.

Cause: the size of a batch is known only once it is encoded, and the result was thrown away. Class: work that is repeated to find a bound.

Change: messages are encoded one after the other into the frame. The one that does not fit begins the next frame as it is encoded; those after it are not encoded yet, so that the times that they state are those of their frame. The header of the array is written when the number of messages is known. What is on the wire is the same: a frame equals what `encode_batch` makes of its messages.

The same cause was looked for in the reading of replies, which are bounded as they arrive, and in documents, whose deltas are made once for all members: not found.

--- a/src/protocol/frames.rs
+++ b/src/protocol/frames.rs
@@ -22,6 +22,9 @@
 /// Maximum number of messages in a batch.
 const MAX_BATCH_MESSAGES: usize = 256;
 
+/// Maximum size of the header of a frame's array, in bytes: one for the type, two for the number of messages.
+const MAX_ARRAY_HEADER_BYTES: usize = 3;
+
 /// An error of a peer link.
 #[derive(Debug, thiserror::Error)]
 pub enum FrameError {
@@ -39,22 +42,75 @@
 /// When a message cannot be serialized.
 pub fn encode_batch<T: Serialize>(batch: &[T]) -> Result<Bytes, FrameError> {
     let mut buf = Vec::with_capacity(256);
-    ciborium::into_writer(batch, &mut buf).map_err(|e| FrameError::Codec(e.to_string()))?;
+    encode(batch, &mut buf)?;
     Ok(buf.into())
 }
 
-/// Encodes as many of the messages as fit a frame, at least one; returns their number too.
-fn encode_frame<T: Serialize>(messages: &[T]) -> Result<(usize, Bytes), FrameError> {
-    let mut count = messages.len();
-    loop {
-        let buf = encode_batch(&messages[..count])?;
-        if buf.len() <= MAX_FRAME_BYTES || count == 1 {
-            return Ok((count, buf));
+/// The messages of a link that wait to be sent, each of which is encoded once.
+struct Outbox<T> {
+    messages: VecDeque<T>,
+    /// The encoded message that did not fit the last frame; empty if there is none.
+    overflow: Vec<u8>,
+}
+
+impl<T> Default for Outbox<T> {
+    fn default() -> Self {
+        Self { messages: VecDeque::new(), overflow: Vec::new() }
+    }
+}
+
+impl<T> Outbox<T> {
+    fn is_empty(&self) -> bool {
+        self.messages.is_empty() && self.overflow.is_empty()
+    }
+
+    /// Returns whether the messages fill a batch.
+    fn is_full(&self) -> bool {
+        self.messages.len() >= MAX_BATCH_MESSAGES
+    }
+}
+
+impl<T: Serialize> Outbox<T> {
+    /// Encodes as many of the messages as fit a frame, at least one.
+    fn next_frame(&mut self) -> Result<Bytes, FrameError> {
+        let mut buf = Vec::with_capacity(256);
+        buf.resize(MAX_ARRAY_HEADER_BYTES, 0);
+        buf.append(&mut self.overflow);
+        let mut count = u16::from(buf.len() > MAX_ARRAY_HEADER_BYTES);
+        while usize::from(count) < MAX_BATCH_MESSAGES
+            && let Some(message) = self.messages.pop_front()
+        {
+            let start = buf.len();
+            encode(&message, &mut buf)?;
+            if count > 0 && buf.len() > MAX_FRAME_BYTES {
+                self.overflow = buf.split_off(start);
+                break;
+            }
+            count += 1;
         }
-        count = count.div_ceil(2);
+        let header_start = write_array_header(count, &mut buf);
+        Ok(Bytes::from(buf).slice(header_start..))
     }
 }
 
+fn encode<T: Serialize + ?Sized>(value: &T, buf: &mut Vec<u8>) -> Result<(), FrameError> {
+    ciborium::into_writer(value, buf).map_err(|e| FrameError::Codec(e.to_string()))
+}
+
+/// Writes the header of a CBOR array into the room before its elements; returns where it starts.
+fn write_array_header(count: u16, buf: &mut [u8]) -> usize {
+    const ARRAY: u8 = 4 << 5; // the major type, RFC 8949 section 3.1
+    let [high, low] = count.to_be_bytes();
+    let header: &[u8] = match count {
+        0..24 => &[ARRAY | low],
+        24..256 => &[ARRAY | 24, low],
+        256.. => &[ARRAY | 25, high, low],
+    };
+    let start = MAX_ARRAY_HEADER_BYTES - header.len();
+    buf[start..MAX_ARRAY_HEADER_BYTES].copy_from_slice(header);
+    start
+}
+
 /// Decodes a frame into its batch of messages.
 ///
 /// # Errors
@@ -70,7 +126,7 @@
 pub struct FrameTransport<W, In, Out> {
     ws: W,
     received: VecDeque<In>,
-    batch: Vec<Out>,
+    outbox: Outbox<Out>,
     bytes_sent: Arc<AtomicU64>,
     incoming: PhantomData<fn() -> In>,
 }
@@ -78,7 +134,13 @@
 impl<W, In, Out> FrameTransport<W, In, Out> {
     /// Wraps a WebSocket; the size of each sent frame is added to `bytes_sent`.
     pub fn new(ws: W, bytes_sent: Arc<AtomicU64>) -> Self {
-        Self { ws, received: VecDeque::new(), batch: Vec::new(), bytes_sent, incoming: PhantomData }
+        Self {
+            ws,
+            received: VecDeque::new(),
+            outbox: Outbox::default(),
+            bytes_sent,
+            incoming: PhantomData,
+        }
     }
 }
 
@@ -115,10 +177,9 @@
     Out: Serialize + Unpin,
 {
     fn send_batch(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), FrameError>> {
-        while !self.batch.is_empty() {
+        while !self.outbox.is_empty() {
             ready!(Pin::new(&mut self.ws).poll_ready(cx))?;
-            let (count, buf) = encode_frame(&self.batch)?;
-            self.batch.drain(..count);
+            let buf = self.outbox.next_frame()?;
             self.bytes_sent.fetch_add(buf.len() as u64, Ordering::Relaxed);
             Pin::new(&mut self.ws).start_send(Message::Binary(buf))?;
         }
@@ -135,15 +196,11 @@
     type Error = FrameError;
 
     fn poll_ready(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<(), FrameError>> {
-        if self.batch.len() < MAX_BATCH_MESSAGES {
-            Poll::Ready(Ok(()))
-        } else {
-            self.send_batch(cx)
-        }
+        if self.outbox.is_full() { self.send_batch(cx) } else { Poll::Ready(Ok(())) }
     }
 
     fn start_send(mut self: Pin<&mut Self>, item: Out) -> Result<(), FrameError> {
-        self.batch.push(item);
+        self.outbox.messages.push_back(item);
         Ok(())
     }
 
