--- a/src/transport/upstreams/context.rs
+++ b/src/transport/upstreams/context.rs
@@ -110,14 +110,10 @@
 
     fn candidate(&self, key: ServerKey, server: &Server, now: Tick) -> Candidate {
         let is_remote = server.report.domain != self.tier.opts.domain;
-        let limits = self.view.server_limits(server);
         let is_responsive = self.tier.with_domain(&server.report.domain, |d| d.can_send(now));
         self.tier.servers.with_or_insert(key, ServerState::default, |state| {
-            let cold = now < server.cold_until.max(state.stats.cold_until());
-            let is_admitted = !cold || {
-                let rate = self.cold_rate(limits.cold_rate);
-                state.stats.cold.can_send(rate, self.tier.instances(), now)
-            };
+            let cold = is_cold(state, server, now);
+            let is_admitted = self.is_admitted(state, server, now);
             let round_trip = self.round_trip(state, server);
             let connect = if state.connections.has_idle(now) {
                 Duration::ZERO
@@ -142,6 +138,23 @@
         })
     }
 
+    /// Returns whether this instance's share of a server's rate while it is cold allows one more request.
+    fn is_admitted(&self, state: &mut ServerState, server: &Server, now: Tick) -> bool {
+        let rate = self.cold_rate(self.view.server_limits(server).cold_rate);
+        !is_cold(state, server, now) || state.stats.cold.can_send(rate, self.tier.instances(), now)
+    }
+
+    /// Counts a request to a server; returns `false` if others used its rate up since it became a candidate.
+    fn try_count(&self, key: ServerKey, server: &Server, now: Tick) -> bool {
+        self.tier.servers.with_or_insert(key, ServerState::default, |state| {
+            let is_admitted = self.is_admitted(state, server, now);
+            if is_admitted {
+                state.stats.cold.record_send(now);
+            }
+            is_admitted
+        })
+    }
+
     /// Returns the rate limit of a cold server for all instances, per second; zero means no limit.
     fn cold_rate(&self, rate: f64) -> f64 {
         let (factor, slack) = self.tier.opts.cold_rate;
@@ -149,14 +162,22 @@
     }
 }
 
+fn is_cold(state: &ServerState, server: &Server, now: Tick) -> bool {
+    now < server.cold_until.max(state.stats.cold_until())
+}
+
 impl ScatterContext for TierContext<'_> {
     fn pick_server(&mut self, pool: PoolKey, avoid: &[ServerKey], now: Tick) -> Option<ServerKey> {
-        let candidates = self.candidates(pool, avoid, now);
-        let key = pick_server(&candidates, !avoid.is_empty(), || rand::rng().random())?;
-        let server = self.view.server(key)?;
-        self.tier.with_domain(&server.report.domain, |d| d.record_send());
-        self.tier.servers.with(key, |state| state.stats.cold.record_send(now));
-        Some(key)
+        let mut candidates = self.candidates(pool, avoid, now);
+        loop {
+            let key = pick_server(&candidates, !avoid.is_empty(), || rand::rng().random())?;
+            let server = self.view.server(key)?;
+            if self.try_count(key, server, now) {
+                self.tier.with_domain(&server.report.domain, |d| d.record_send());
+                return Some(key);
+            }
+            candidates.retain(|c| c.key != key);
+        }
     }
 
     fn record_request(&mut self, pool: PoolKey, now: Tick) {
