What a server's new run asks for before its entry comes is kept for it

Cause: until the entry of the new run comes, its replies count for the former run, and the entry's new key begins clean.

A reply does not name the run (servers state it in health replies only), but its connection was accepted by one listener. A listener that accepted connections and then refuses one is closed; what accepts at the same address later is a later run of the same server, since any other one answers 421. Replies on such connections are also kept apart and taken over by the next entry of the same server and address with a later start. The network may refuse a connection in place of a server; a run that leaves is therefore avoided for 60 s then, not for good. While the old entry is listed all notices count together, so that nothing is sent to a server by a guess. A restart during which no connection was refused goes unnoticed, as before (docs/PROOFS.md, Not proved).

--- a/src/coordination/server_notices.rs
+++ b/src/coordination/server_notices.rs
@@ -21,6 +21,9 @@
 /// or a peer may bring back.
 const DRAINING_MEMORY: Duration = Duration::from_secs(600);
 
+/// Time for which a run that drained before it was listed is sent nothing; servers drain for some seconds.
+const UNLISTED_DRAINING_TIME: Duration = Duration::from_secs(60);
+
 /// What the head of one reply asks for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Notice {
@@ -89,12 +92,65 @@
         }
     }
 
+    /// Returns what counts of these notices for a run that was not listed yet when they were heard.
+    ///
+    /// The network may refuse a connection in place of the server, so that they are of the former run after all; a run
+    /// that drains is therefore avoided for some time, in which it ends or states it again elsewhere.
+    #[must_use]
+    pub fn once_listed(self, now: Tick) -> Self {
+        let drained_at = if self.is_draining { now + UNLISTED_DRAINING_TIME } else { now };
+        Self { is_draining: false, not_before: self.not_before.max(drained_at) }
+    }
+
     /// Returns whether the server is draining.
     pub fn is_draining(&self) -> bool {
         self.is_draining
     }
 }
 
+/// The listener of a server to which a connection was opened, by its number since the run was listed.
+///
+/// A run that accepted connections and then refuses one has closed its listener. What accepts connections at the same
+/// address later is another run, which may not be listed yet.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ListenerNumber(u32);
+
+impl ListenerNumber {
+    /// Returns whether the listener is that of a run after the listed one.
+    pub fn is_unlisted(self) -> bool {
+        self > Self::default()
+    }
+}
+
+/// Tells the listeners of a server apart by the results of opening connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Listeners {
+    current: ListenerNumber,
+    has_accepted: bool,
+    has_closed: bool,
+}
+
+impl Listeners {
+    /// Records an accepted connection and returns the listener that accepted it.
+    pub(crate) fn record_accepted(&mut self) -> ListenerNumber {
+        if std::mem::take(&mut self.has_closed) {
+            self.current.0 += 1;
+        }
+        self.has_accepted = true;
+        self.current
+    }
+
+    /// Records that the address has no listener.
+    pub(crate) fn record_refused(&mut self) {
+        self.has_closed |= self.has_accepted;
+    }
+
+    /// Returns the last listener that accepted a connection.
+    pub(crate) fn current(&self) -> ListenerNumber {
+        self.current
+    }
+}
+
 /// Identifies one run of a server, whether or not it is listed.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct RunId {
@@ -109,6 +165,16 @@
         let started_at_ms = report.started_at_ms?;
         Some(Self { id: report.id.clone(), started_at_ms, addr: report.addr })
     }
+
+    /// Returns the identity of the server.
+    pub fn server_id(&self) -> &str {
+        &self.id
+    }
+
+    /// Returns whether this is a later run of the same server at the same address.
+    pub fn is_later_than(&self, other: &Self) -> bool {
+        self.id == other.id && self.addr == other.addr && self.started_at_ms > other.started_at_ms
+    }
 }
 
 /// The notices of runs beyond their entries: one that is listed again, by an old list or a peer, has asked for the same.
--- a/src/coordination/server_stats.rs
+++ b/src/coordination/server_stats.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::coordination::outlier::OutlierDetector;
-use crate::coordination::server_notices::{Notice, ServerNotices};
+use crate::coordination::server_notices::{ListenerNumber, Listeners, Notice, ServerNotices};
 use crate::coordination::shares::ColdLimiter;
 use crate::state::arena::ServerKey;
 use crate::state::snapshot_range::SnapshotRange;
@@ -42,6 +42,8 @@
     pub held: Option<SnapshotRange>,
     /// What it asks for.
     pub notice: Notice,
+    /// The listener that accepted the connection of the answer.
+    pub listener: ListenerNumber,
 }
 
 /// Statistics of one run of one server.
@@ -63,8 +65,11 @@
     boot_id: Option<u64>,
     held: Option<SnapshotRange>,
     run_reported_at: Tick,
-    /// What this run of the server has asked for.
+    listeners: Listeners,
+    /// What the server has asked for since the run was listed.
     pub notices: ServerNotices,
+    /// What it has asked for on connections to its current listener, if that is of a run that is not listed yet.
+    unlisted_notices: ServerNotices,
 }
 
 impl ServerStats {
@@ -116,16 +121,37 @@
         self.load_reported_at = now;
     }
 
-    /// Records a refused connection; if a later one succeeds, the server has restarted.
-    pub fn record_connect_refused(&mut self) {
+    /// Records a connection that could not be opened; if a later one succeeds, the server may have restarted. With
+    /// `no_listener`, it has.
+    pub fn record_connect_refused(&mut self, no_listener: bool) {
         self.connect_refused = true;
+        if no_listener {
+            self.listeners.record_refused();
+        }
     }
 
-    /// Records an opened connection; `cold_duration` is how long a restarted server is cold.
-    pub fn record_connect(&mut self, cold_duration: Duration, now: Tick) {
+    /// Records an opened connection and returns the listener that accepted it; `cold_duration` is how long a restarted
+    /// server is cold.
+    pub fn record_connect(&mut self, cold_duration: Duration, now: Tick) -> ListenerNumber {
         if std::mem::take(&mut self.connect_refused) {
             self.cold_until = now + cold_duration;
         }
+        let before = self.listeners.current();
+        let listener = self.listeners.record_accepted();
+        if listener != before {
+            self.unlisted_notices = ServerNotices::default();
+        }
+        listener
+    }
+
+    /// Returns the last listener that accepted a connection.
+    pub fn listener(&self) -> ListenerNumber {
+        self.listeners.current()
+    }
+
+    /// Returns what a run after the listed one has asked for.
+    pub fn unlisted_notices(&self) -> ServerNotices {
+        self.unlisted_notices
     }
 
     /// Records what the server reported about its run; a new boot ID means that it has restarted. Returns whether what it
@@ -140,6 +166,9 @@
         }
         self.held = run.held.or(self.held);
         self.notices.record(run.notice, now);
+        if run.listener.is_unlisted() && run.listener == self.listeners.current() {
+            self.unlisted_notices.record(run.notice, now);
+        }
         self.run_reported_at = now;
         self.notices != before
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,7 +44,8 @@
     Decision, Scatter, ScatterContext, ScatterOptions, SendResult, ShardSend,
 };
 pub use coordination::server_notices::{
-    Availability, MAX_BACKOFF, Notice, NoticeMemory, RunId, SendPermit, ServerNotices,
+    Availability, ListenerNumber, MAX_BACKOFF, Notice, NoticeMemory, RunId, SendPermit,
+    ServerNotices,
 };
 pub use coordination::server_stats::{Candidate, RunReport, ServerStats, pick_server};
 pub use coordination::shares::{ColdLimiter, Role, connection_share};
--- a/src/transport/callers/query.rs
+++ b/src/transport/callers/query.rs
@@ -25,7 +25,7 @@
 use crate::transport::http;
 use crate::transport::node::Node;
 use crate::transport::upstreams::run::{Gathered, GivenUp, Job, run};
-use crate::transport::upstreams::tier::{RouteStats, ServerState};
+use crate::transport::upstreams::tier::{RouteStats, ServerRun, ServerState};
 
 /// Maximum number of times that a query restarts on a newer snapshot.
 const MAX_RESTARTS: u64 = 2;
@@ -245,12 +245,13 @@
 async fn refresh_status(node: Arc<Node>, key: ServerKey) {
     let view = node.tier.view();
     let Some(server) = view.server(key) else { return };
+    let listener = node.tier.servers.with(key, |s| s.stats.listener()).unwrap_or_default();
     let Ok(reply) = http::get(server.report.addr, STATUS_URI, STATUS_TIMEOUT).await else { return };
     let mut res = hyper::Response::new(());
     *res.status_mut() = StatusCode::from_u16(reply.status).unwrap_or_default();
     *res.headers_mut() = reply.headers;
     let head = node.tier.codec.parse_response_head(&res.into_parts().0);
-    node.tier.record_run(key, server, &head, node.now());
+    node.tier.record_run(key, ServerRun { server, listener }, &head, node.now());
 }
 
 /// Sends a non-idempotent request to one upstream, and to another only if the first did not run it.
--- a/src/transport/upstreams/connection_pool.rs
+++ b/src/transport/upstreams/connection_pool.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use crate::coordination::attempt::ConnectionUse;
+use crate::coordination::server_notices::ListenerNumber;
 use crate::state::time::Tick;
 use crate::transport::http::{AbortOnDrop, client_builder};
 
@@ -62,6 +63,8 @@
     pub(crate) idle_limit: Option<Duration>,
     /// Number of the connection in this process, for logs.
     pub(crate) number: u64,
+    /// The listener that accepted it.
+    pub(crate) listener: ListenerNumber,
     /// Number of requests that were answered on it.
     pub(crate) answered: u32,
     /// When it was opened or last answered a request.
@@ -202,6 +205,7 @@
             reused: false,
             idle_limit: None,
             number: NEXT_NUMBER.fetch_add(1, Ordering::Relaxed),
+            listener: ListenerNumber::default(),
             answered: 0,
             last_used: now,
             _permit: permit,
--- a/src/transport/upstreams/outcome.rs
+++ b/src/transport/upstreams/outcome.rs
@@ -12,9 +12,9 @@
 use crate::coordination::server_notices::{Availability, ServerNotices};
 use crate::protocol::codec::ResponseHead;
 use crate::state::time::Tick;
-use crate::state::topology::Server;
 use crate::transport::http::Reply;
 use crate::transport::upstreams::send::{Answer, SendOutcome, Sender};
+use crate::transport::upstreams::tier::ServerRun;
 
 impl Sender<'_> {
     /// Records an unanswered request in the health of the server's failure domain.
@@ -44,7 +44,7 @@
     pub(crate) fn evaluate_reply(
         &self,
         attempt: Attempt<Replied>,
-        server: &Server,
+        run: ServerRun<'_>,
         (head, reply): (ResponseHead, Reply),
         took: Duration,
     ) -> SendOutcome {
@@ -54,7 +54,7 @@
         });
         // what another server at the address reports is not this server's
         if head.refusal != Some(UpstreamRefusal::Replaced) {
-            self.record_head(server, &head, now);
+            self.record_head(run, &head, now);
         }
         if let Some(refusal) = head.refusal {
             return self.record_refusal(attempt, refusal, now);
@@ -88,12 +88,13 @@
     }
 
     /// Records what the head of an answer reports about the server, as it was listed when the request was sent.
-    fn record_head(&self, server: &Server, head: &ResponseHead, now: Tick) {
+    fn record_head(&self, run: ServerRun<'_>, head: &ResponseHead, now: Tick) {
+        let server = run.server;
         if let Some((queue, slots)) = head.load {
             self.update_server(|s| s.stats.record_load(queue, slots, now));
         }
-        if let Some(notices) = self.tier.record_run(self.key, server, head, now) {
-            self.log_notices(server, notices, now);
+        if let Some(notices) = self.tier.record_run(self.key, run, head, now) {
+            self.log_notices(run, notices, now);
         }
         if let Some(e) = &head.invalid_backoff {
             let is_first =
@@ -106,18 +107,19 @@
     }
 
     /// Logs what a run of the server asked for in its reply to this request.
-    fn log_notices(&self, server: &Server, notices: ServerNotices, now: Tick) {
-        let (id, started_at_ms) =
-            (self.request.id.as_str(), server.report.started_at_ms.unwrap_or_default());
-        let server = server.report.id.as_str();
+    fn log_notices(&self, run: ServerRun<'_>, notices: ServerNotices, now: Tick) {
+        let (id, report) = (self.request.id.as_str(), &run.server.report);
+        let (server, started_at_ms) =
+            (report.id.as_str(), report.started_at_ms.unwrap_or_default());
+        let unlisted = run.listener.is_unlisted();
         match notices.availability(now) {
             Availability::Now => {}
             Availability::From(at) => {
                 let backoff_ms = at.since(now).as_millis() as u64;
-                log::info!(request = id, server, started_at_ms, backoff_ms; "server asked for a time without requests");
+                log::info!(request = id, server, started_at_ms, unlisted, backoff_ms; "server asked for a time without requests");
             }
             Availability::Never => {
-                log::info!(request = id, server, started_at_ms; "server announced that it leaves");
+                log::info!(request = id, server, started_at_ms, unlisted; "server announced that it leaves");
             }
         }
     }
--- a/src/transport/upstreams/send.rs
+++ b/src/transport/upstreams/send.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one server: checks out a connection, then exchanges request and answer.
 
+use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -21,7 +22,7 @@
 use crate::transport::http::{self, Reply, ReplyError};
 use crate::transport::upstreams::connection_pool::{Checkout, Connection, Released};
 use crate::transport::upstreams::context::AnswerTimes;
-use crate::transport::upstreams::tier::{ServerState, Tier};
+use crate::transport::upstreams::tier::{ServerRun, ServerState, Tier};
 
 /// Minimum time without an answer after which a connection counts as unresponsive.
 const MIN_ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -176,11 +177,12 @@
         let label = if result.is_ok() { "opened" } else { "refused" };
         self.metrics.connections.with_label_values(&[label]).inc();
         match result {
-            Ok(conn) => {
-                self.servers.with(key, |s| {
+            Ok(mut conn) => {
+                let listener = self.servers.with(key, |s| {
                     s.connections.record_connect(now.since(started_at));
-                    s.stats.record_connect(cold_duration, now);
+                    s.stats.record_connect(cold_duration, now)
                 });
+                conn.listener = listener.unwrap_or_default();
                 Ok(conn)
             }
             Err(e) => {
@@ -188,8 +190,11 @@
                 let server = view.server(key);
                 let id = server.map_or("?", |s| s.report.id.as_str());
                 log::debug!(server = id; "connection to a server could not be opened: {e:#}");
+                let no_listener = e
+                    .downcast_ref::<io::Error>()
+                    .is_some_and(|e| e.kind() == io::ErrorKind::ConnectionRefused);
                 self.servers.with(key, |s| {
-                    s.stats.record_connect_refused();
+                    s.stats.record_connect_refused(no_listener);
                     s.stats.record_failure(now);
                 });
                 if let Some(server) = server {
@@ -352,8 +357,8 @@
                 };
                 conn.answered += 1;
                 conn.idle_limit = head.idle_timeout.or(conn.idle_limit);
-                let outcome =
-                    self.evaluate_reply(attempt, server, (head, reply), now.since(sent_at));
+                let run = ServerRun { server, listener: conn.listener };
+                let outcome = self.evaluate_reply(attempt, run, (head, reply), now.since(sent_at));
                 if matches!(outcome.result, SendResult::NotRun(_)) {
                     self.request.dispatches.record_not_run();
                 }
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -18,7 +18,7 @@
 use crate::coordination::return_times::ReturnTimes;
 use crate::coordination::round_robin::WeightedRoundRobin;
 use crate::coordination::server_notices::{
-    Availability, Notice, NoticeMemory, RunId, ServerNotices,
+    Availability, ListenerNumber, Notice, NoticeMemory, RunId, ServerNotices,
 };
 use crate::coordination::server_stats::{RunReport, ServerStats};
 use crate::coordination::shares::{self, Role};
@@ -105,6 +105,15 @@
     }
 }
 
+/// The run of a server that sent a reply.
+#[derive(Clone, Copy)]
+pub(crate) struct ServerRun<'a> {
+    /// The server as it was listed when the request was sent.
+    pub(crate) server: &'a Server,
+    /// The listener that accepted the connection.
+    pub(crate) listener: ListenerNumber,
+}
+
 /// The statistics and connections of a server.
 #[derive(Default)]
 pub(crate) struct ServerState {
@@ -368,35 +377,59 @@
         changed
     }
 
-    /// Restores what runs asked for before they were removed and listed again.
+    /// Restores what runs asked for before they were listed, or listed again.
     fn restore_notices(&self, before: &TopologyView, view: &TopologyView) {
-        let mut notices = self.notices.lock();
-        notices.forget(self.now());
-        if notices.is_empty() {
+        if !self.has_notices.load(Ordering::Relaxed) {
             return;
         }
+        let (mut notices, now) = (self.notices.lock(), self.now());
+        notices.forget(now);
         for (key, server) in view.servers().filter(|(key, _)| before.server(*key).is_none()) {
-            if let Some(known) = RunId::of(&server.report).and_then(|run| notices.get(&run)) {
+            let Some(run) = RunId::of(&server.report) else { continue };
+            let heard = self.notices_before_listing(before, &run, now);
+            if let Some(heard) = heard {
+                notices.record(run.clone(), heard, now);
+            }
+            if let Some(known) = heard.or_else(|| notices.get(&run)) {
                 self.servers.with_or_insert(key, ServerState::default, |s| s.stats.notices = known);
             }
         }
     }
 
+    /// Returns what a run asked for while an earlier run of the server was listed.
+    fn notices_before_listing(
+        &self,
+        before: &TopologyView,
+        run: &RunId,
+        now: Tick,
+    ) -> Option<ServerNotices> {
+        let key = before.key_by_id(run.server_id())?;
+        let former = RunId::of(&before.server(key)?.report)?;
+        let heard = self.servers.with(key, |s| s.stats.unlisted_notices().once_listed(now))?;
+        let is_asking = heard.availability(now) != Availability::Now;
+        (is_asking && run.is_later_than(&former)).then_some(heard)
+    }
+
     /// Records what the head of a server's reply reports about its run; returns what it asks for, if that is new.
     ///
     /// The run may have been removed since the request was sent, or listed again under another key.
     pub(crate) fn record_run(
         &self,
         key: ServerKey,
-        server: &Server,
+        run: ServerRun<'_>,
         head: &ResponseHead,
         now: Tick,
     ) -> Option<ServerNotices> {
-        let cold_duration = self.view().server_limits(server).cold_duration;
+        let ServerRun { server, listener } = run;
+        let view = self.view();
+        let cold_duration = view.server_limits(server).cold_duration;
         let notice = Notice { draining: head.draining, backoff: head.backoff };
-        let run = RunReport { boot_id: head.boot_id, held: head.held, notice };
+        let listed = listed_key(&view, key, server);
+        // listeners are counted from the listing of a run
+        let listener = if listed == Some(key) { listener } else { ListenerNumber::default() };
+        let report = RunReport { boot_id: head.boot_id, held: head.held, notice, listener };
         let update = |s: &mut ServerState| {
-            let changed = s.stats.record_run(run, cold_duration, now);
+            let changed = s.stats.record_run(report, cold_duration, now);
             if changed && s.stats.notices.is_draining() {
                 s.connections.close_idle();
             }
@@ -406,7 +439,7 @@
             changed.then_some(s.stats.notices)
         };
         let run_id = RunId::of(&server.report);
-        let changed = match listed_key(&self.view(), key, server) {
+        let changed = match listed {
             Some(key) => self.servers.with_or_insert(key, ServerState::default, update),
             None => {
                 let known = run_id.as_ref().and_then(|run| self.notices.lock().get(run));
--- a/tests/server_notices.rs
+++ b/tests/server_notices.rs
@@ -6,9 +6,9 @@
 
 use support::ms;
 use tamarackdeck::{
-    Availability, Candidate, Key, MAX_BACKOFF, NameInterner, NotRunCode, Notice, NoticeMemory,
-    PoolKey, ReturnTimes, RunId, RunReport, ServerKey, ServerNotices, ServerReport, ServerStats,
-    ServiceShare, Tick, Topology, available_from, pick_server,
+    Availability, Candidate, Key, ListenerNumber, MAX_BACKOFF, NameInterner, NotRunCode, Notice,
+    NoticeMemory, PoolKey, ReturnTimes, RunId, RunReport, ServerKey, ServerNotices, ServerReport,
+    ServerStats, ServiceShare, Tick, Topology, available_from, pick_server,
 };
 
 const LEAVING: Notice = Notice { draining: true, backoff: None };
@@ -106,7 +106,7 @@
         for notice in [LEAVING, backoff(60_000)] {
             let mut stats = ServerStats::default();
             let [first, second] = case.boot_ids;
-            let run = |boot_id, notice| RunReport { boot_id, held: None, notice };
+            let run = |boot_id, notice| RunReport { boot_id, notice, ..RunReport::default() };
             assert!(stats.record_run(run(first, notice), Duration::ZERO, ms(1)), "{}", case.name);
             stats.record_run(run(second, Notice::default()), Duration::ZERO, ms(2));
             assert_eq!(stats.notices.permit(ms(3)).is_ok(), case.starts_clean, "{}", case.name);
@@ -114,6 +114,125 @@
     }
 }
 
+#[derive(Clone, Copy)]
+enum ListenerEvent {
+    Accepted,
+    NoListener,
+    /// The connection timed out or was reset, which tells nothing of a listener.
+    NotOpened,
+    /// A reply on a connection to the listener of this number among those that accepted connections.
+    Reply(usize, Notice),
+}
+
+struct ListenerCase {
+    name: &'static str,
+    events: &'static [ListenerEvent],
+    /// Why the server is refused a request while the same run is listed.
+    refused: Option<NotRunCode>,
+    /// Why the next run that is listed is refused one.
+    refused_once_listed: Option<NotRunCode>,
+}
+
+const LISTENERS: &[ListenerCase] = &[
+    ListenerCase {
+        name: "the listed run leaves",
+        events: &[ListenerEvent::Accepted, ListenerEvent::Reply(0, LEAVING)],
+        refused: Some(NotRunCode::Leaving),
+        refused_once_listed: None,
+    },
+    ListenerCase {
+        name: "a listed run does not accept connections at once",
+        events: &[
+            ListenerEvent::NoListener,
+            ListenerEvent::Accepted,
+            ListenerEvent::Reply(0, LEAVING),
+        ],
+        refused: Some(NotRunCode::Leaving),
+        refused_once_listed: None,
+    },
+    ListenerCase {
+        name: "connections that fail otherwise do not tell of another run",
+        events: &[
+            ListenerEvent::Accepted,
+            ListenerEvent::NotOpened,
+            ListenerEvent::Accepted,
+            ListenerEvent::Reply(1, LEAVING),
+        ],
+        refused: Some(NotRunCode::Leaving),
+        refused_once_listed: None,
+    },
+    ListenerCase {
+        name: "a run that is not listed yet leaves",
+        events: &[
+            ListenerEvent::Accepted,
+            ListenerEvent::NoListener,
+            ListenerEvent::NoListener,
+            ListenerEvent::Accepted,
+            ListenerEvent::Reply(1, LEAVING),
+        ],
+        refused: Some(NotRunCode::Leaving),
+        refused_once_listed: Some(NotRunCode::BackingOff),
+    },
+    ListenerCase {
+        name: "a run that is not listed yet wants time",
+        events: &[
+            ListenerEvent::Accepted,
+            ListenerEvent::NoListener,
+            ListenerEvent::Accepted,
+            ListenerEvent::Reply(1, backoff(1_000)),
+        ],
+        refused: Some(NotRunCode::BackingOff),
+        refused_once_listed: Some(NotRunCode::BackingOff),
+    },
+    ListenerCase {
+        name: "what the listed run said counts until the next one is listed",
+        events: &[
+            ListenerEvent::Accepted,
+            ListenerEvent::Reply(0, backoff(1_000)),
+            ListenerEvent::NoListener,
+            ListenerEvent::Accepted,
+        ],
+        refused: Some(NotRunCode::BackingOff),
+        refused_once_listed: None,
+    },
+    ListenerCase {
+        name: "a late reply of the listed run is not of the next one",
+        events: &[
+            ListenerEvent::Accepted,
+            ListenerEvent::NoListener,
+            ListenerEvent::Accepted,
+            ListenerEvent::Reply(0, LEAVING),
+        ],
+        refused: Some(NotRunCode::Leaving),
+        refused_once_listed: None,
+    },
+];
+
+#[test]
+fn a_run_that_is_not_listed_yet_is_not_taken_for_the_listed_one() {
+    for case in LISTENERS {
+        let (mut stats, mut accepted) = (ServerStats::default(), Vec::<ListenerNumber>::new());
+        for event in case.events {
+            match *event {
+                ListenerEvent::Accepted => {
+                    accepted.push(stats.record_connect(Duration::ZERO, ms(1)));
+                }
+                ListenerEvent::NoListener => stats.record_connect_refused(true),
+                ListenerEvent::NotOpened => stats.record_connect_refused(false),
+                ListenerEvent::Reply(number, notice) => {
+                    let listener = accepted[number];
+                    let run = RunReport { notice, listener, ..RunReport::default() };
+                    stats.record_run(run, Duration::ZERO, ms(1));
+                }
+            }
+        }
+        assert_eq!(stats.notices.permit(ms(2)).err(), case.refused, "{}", case.name);
+        let once_listed = stats.unlisted_notices().once_listed(ms(2));
+        assert_eq!(once_listed.permit(ms(3)).err(), case.refused_once_listed, "{}", case.name);
+        assert!(once_listed.permit(ms(60_002)).is_ok(), "{}", case.name);
+    }
+}
+
 fn report(id: &str, pool: PoolKey, port: u16, started_at_ms: u64) -> ServerReport {
     ServerReport {
         id: id.into(),
