Refusals of the own interface say when to return

Callers of /v1/query and /v1/request that were refused because upstreams had asked for a time without requests were told the reason (backing-off) but not when to return; on the platform they are told.

Cause: `into_refusal` dropped the time that `return_times` had given.

The refusal carries it as `retry_after_ms` and as the header Retry-After, in the form that the platform's codec uses; the time is rounded up, so that nobody returns before it. The decision is the same for both front ends.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,7 +70,7 @@
     HEAD_KEY, InstanceState, ListedInstance, Object, Platform, PlatformError, WriteResult,
     claim_key, encode_head, head_size, parse_head, ticket_key,
 };
-pub use protocol::retry_after::{InvalidRetryAfter, parse_retry_after};
+pub use protocol::retry_after::{InvalidRetryAfter, parse_retry_after, retry_after_value};
 pub use protocol::upstream::{UpstreamCodec, parse_label, parse_load};
 pub use state::arena::{Arena, Key, PoolKey, RouteKey, ServerKey, ServiceKey, UpstreamKey};
 pub use state::catalog::{Catalog, ServiceEntry, ShardEntry, ShardMapEntry};
--- a/src/protocol/caller.rs
+++ b/src/protocol/caller.rs
@@ -192,6 +192,9 @@
     NotRun {
         /// The reason.
         reason: NotRunCode,
+        /// Time after which to retry, in milliseconds, if upstreams asked for a time without requests.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        retry_after_ms: Option<u64>,
     },
     /// The request may have run; a retry may run it a second time.
     OutcomeUnknown {
@@ -213,11 +216,24 @@
 }
 
 impl Refusal {
+    /// Creates the refusal of a request that was not run and may be retried at any time.
+    pub fn not_run(reason: NotRunCode) -> Self {
+        Refusal::NotRun { reason, retry_after_ms: None }
+    }
+
+    /// Returns the time after which to retry, if there is one.
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Refusal::NotRun { retry_after_ms, .. } => retry_after_ms.map(Duration::from_millis),
+            _ => None,
+        }
+    }
+
     /// Returns the HTTP status code.
     pub fn status(&self) -> u16 {
         match self {
-            Refusal::NotRun { reason: NotRunCode::UnknownService } => 404,
-            Refusal::NotRun { reason: NotRunCode::KeyReused } => 409,
+            Refusal::NotRun { reason: NotRunCode::UnknownService, .. } => 404,
+            Refusal::NotRun { reason: NotRunCode::KeyReused, .. } => 409,
             Refusal::NotRun { .. } => 503,
             Refusal::OutcomeUnknown { .. } => 504,
             Refusal::BadRequest { .. } => 400,
--- a/src/protocol/retry_after.rs
+++ b/src/protocol/retry_after.rs
@@ -28,6 +28,12 @@
     Ok(longest)
 }
 
+/// Returns the value that tells a caller to return after `after`, in seconds with a fraction.
+pub fn retry_after_value(after: Duration) -> HeaderValue {
+    HeaderValue::try_from(format!("{:.3}", after.as_secs_f64()))
+        .unwrap_or_else(|_| HeaderValue::from_static("1"))
+}
+
 fn parse_value(value: &HeaderValue, date: Option<&HeaderValue>) -> Option<Duration> {
     let text = value.to_str().ok()?.trim();
     if text.starts_with(|c: char| c.is_ascii_digit())
--- a/src/transport/callers/api.rs
+++ b/src/transport/callers/api.rs
@@ -4,10 +4,12 @@
 
 use bytes::Bytes;
 use hyper::body::Incoming;
+use hyper::header::RETRY_AFTER;
 use hyper::{Method, Request};
 
 use crate::coordination::attempt::NotRunCode;
 use crate::protocol::caller::{MAX_BODY_BYTES, QueryAnswer, Refusal, RequestOptions};
+use crate::protocol::retry_after::retry_after_value;
 use crate::transport::callers::frontend::{Arrival, Handler};
 use crate::transport::callers::{once, query};
 use crate::transport::http::{BodyError, FullResponse, json_response, read_body, text_response};
@@ -30,7 +32,7 @@
 /// Admits a request unless too many are in flight; it counts as in flight until the guard is dropped.
 fn admit(node: &Node) -> Result<RequestGuard, Refusal> {
     if node.tier.requests_in_flight() >= node.cfg.max_requests {
-        return Err(Refusal::NotRun { reason: NotRunCode::Overloaded });
+        return Err(Refusal::not_run(NotRunCode::Overloaded));
     }
     Ok(node.tier.track_request())
 }
@@ -47,7 +49,11 @@
         };
     response.unwrap_or_else(|refusal| {
         node.tier.metrics.requests.with_label_values(&[refusal.kind()]).inc();
-        json_response(refusal.status(), &refusal)
+        let mut res = json_response(refusal.status(), &refusal);
+        if let Some(after) = refusal.retry_after() {
+            res.headers_mut().insert(RETRY_AFTER, retry_after_value(after));
+        }
+        res
     })
 }
 
--- a/src/transport/callers/once.rs
+++ b/src/transport/callers/once.rs
@@ -32,7 +32,7 @@
         return Ok(RequestAnswer { replayed: false, part: Part::new(shard, body) });
     };
     if node.catalog().service(service).is_none() {
-        return Err(Refusal::NotRun { reason: NotRunCode::UnknownService });
+        return Err(Refusal::not_run(NotRunCode::UnknownService));
     }
     let (node, service) = (node.clone(), service.to_owned());
     // in its own task, so that the claim is settled even if the caller disconnects
@@ -69,9 +69,9 @@
                     .map(|part| RequestAnswer { replayed: true, part })
                     .map_err(|_| Refusal::OutcomeUnknown { reason: Fault::Unsettled });
             }
-            Step::Refuse(reason) => return Err(Refusal::NotRun { reason }),
+            Step::Refuse(reason) => return Err(Refusal::not_run(reason)),
             Step::Unsettled(reason) => return Err(Refusal::OutcomeUnknown { reason }),
-            Step::ReadBack => return Err(Refusal::NotRun { reason: NotRunCode::PlatformAway }),
+            Step::ReadBack => return Err(Refusal::not_run(NotRunCode::PlatformAway)),
         }
         let result = send_non_idempotent(&self.node, &self.service, &options, body).await;
         let answer = result.map(|(shard, body)| Part::new(shard, body));
--- a/src/transport/callers/query.rs
+++ b/src/transport/callers/query.rs
@@ -48,18 +48,18 @@
     let started = node.now();
     let catalog = node.catalog();
     let Some((_, entry)) = catalog.service(service) else {
-        return Err(Refusal::NotRun { reason: NotRunCode::UnknownService });
+        return Err(Refusal::not_run(NotRunCode::UnknownService));
     };
     let admit = |s: &mut RouteStats| s.limiter.try_admit(started);
     if !node.tier.route_stats.with_or_insert(entry.route, RouteStats::default, admit) {
-        return Err(Refusal::NotRun { reason: NotRunCode::Overloaded });
+        return Err(Refusal::not_run(NotRunCode::Overloaded));
     }
     refresh_if_stale(node, &catalog, entry).await;
     let query = Query { node, catalog: &catalog, entry, options, body, started };
     let mut after = None;
     for pass in 0..=MAX_RESTARTS {
         let Some(snapshot) = query.choose_snapshot(after) else {
-            return Err(Refusal::NotRun { reason: NotRunCode::NoSnapshot });
+            return Err(Refusal::not_run(NotRunCode::NoSnapshot));
         };
         let can_restart = pass < MAX_RESTARTS && query.choose_snapshot(Some(snapshot)).is_some();
         match query.run_pass(pass, snapshot).await {
@@ -71,7 +71,7 @@
         }
         node.tier.metrics.restarts.inc();
     }
-    Err(Refusal::NotRun { reason: NotRunCode::NoSnapshot })
+    Err(Refusal::not_run(NotRunCode::NoSnapshot))
 }
 
 /// Returns whether a shard is missing because no replica holds the snapshot any more.
@@ -80,7 +80,7 @@
         Ok(answer) => {
             answer.missing.iter().any(|(_, m)| *m == MissingReason::Refused(NotRunCode::NotHeld))
         }
-        Err(refusal) => matches!(refusal, Refusal::NotRun { reason: NotRunCode::NotHeld }),
+        Err(refusal) => matches!(refusal, Refusal::NotRun { reason: NotRunCode::NotHeld, .. }),
     }
 }
 
@@ -188,9 +188,11 @@
 
 fn into_refusal(given_up: GivenUp) -> Refusal {
     let reason = given_up.missing.first().map(|(_, why)| *why);
+    // rounded up, so that the caller does not return before
+    let retry_after_ms = given_up.retry_after.map(|d| d.as_micros().div_ceil(1_000) as u64);
     match (given_up.ran, reason) {
-        (false, Some(MissingReason::Refused(reason))) => Refusal::NotRun { reason },
-        (false, _) => Refusal::NotRun { reason: NotRunCode::TooLate },
+        (false, Some(MissingReason::Refused(reason))) => Refusal::NotRun { reason, retry_after_ms },
+        (false, _) => Refusal::NotRun { reason: NotRunCode::TooLate, retry_after_ms },
         (true, Some(MissingReason::Failed(reason))) => Refusal::OutcomeUnknown { reason },
         (true, _) => Refusal::OutcomeUnknown { reason: Fault::Timeout },
     }
@@ -264,7 +266,7 @@
     let started = node.now();
     let catalog = node.catalog();
     let Some((_, entry)) = catalog.service(service) else {
-        return Err(Refusal::NotRun { reason: NotRunCode::UnknownService });
+        return Err(Refusal::not_run(NotRunCode::UnknownService));
     };
     let request = node.next_id();
     let shard = select_shard(entry, options, request)?;
@@ -292,7 +294,7 @@
     options: &RequestOptions,
     request: u64,
 ) -> Result<&'a ShardEntry, Refusal> {
-    let map = entry.maps.last().ok_or(Refusal::NotRun { reason: NotRunCode::NoReplica })?;
+    let map = entry.maps.last().ok_or(Refusal::not_run(NotRunCode::NoReplica))?;
     match &options.shard {
         Some(name) => {
             let found = map.shards.iter().find(|s| s.name == *name);
