--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,7 +44,8 @@
     Decision, Scatter, ScatterContext, ScatterOptions, SendResult, ShardSend,
 };
 pub use coordination::server_notices::{
-    Availability, MAX_BACKOFF, Notice, NoticeMemory, RunId, SendPermit, ServerNotices,
+    Availability, ListenerNumber, MAX_BACKOFF, Notice, NoticeMemory, RunId, SendPermit,
+    ServerNotices,
 };
 pub use coordination::server_stats::{Candidate, RunReport, Sent, ServerStats, pick_server};
 pub use coordination::shares::{ColdLimiter, Role, connection_share};
@@ -72,7 +73,7 @@
     HEAD_KEY, InstanceState, ListedInstance, Object, Platform, PlatformError, WriteResult,
     claim_key, encode_head, head_size, parse_head, ticket_key,
 };
-pub use protocol::retry_after::{InvalidRetryAfter, parse_retry_after};
+pub use protocol::retry_after::{InvalidRetryAfter, parse_retry_after, retry_after_value};
 pub use protocol::upstream::{UpstreamCodec, parse_label, parse_load};
 pub use state::arena::{Arena, Key, PoolKey, RouteKey, ServerKey, ServiceKey, UpstreamKey};
 pub use state::catalog::{Catalog, ServiceEntry, ShardEntry, ShardMapEntry};
--- a/src/transport/callers/query.rs
+++ b/src/transport/callers/query.rs
@@ -25,7 +25,7 @@
 use crate::transport::http;
 use crate::transport::node::Node;
 use crate::transport::upstreams::run::{Gathered, GivenUp, Job, run};
-use crate::transport::upstreams::tier::{RouteStats, ServerState};
+use crate::transport::upstreams::tier::{RouteStats, ServerRun, ServerState};
 
 /// Maximum number of times that a query restarts on a newer snapshot.
 const MAX_RESTARTS: u64 = 2;
@@ -48,18 +48,18 @@
     let started = node.now();
     let catalog = node.catalog();
     let Some((_, entry)) = catalog.service(service) else {
-        return Err(Refusal::NotRun { reason: NotRunCode::UnknownService });
+        return Err(Refusal::not_run(NotRunCode::UnknownService));
     };
     let admit = |s: &mut RouteStats| s.limiter.try_admit(started);
     if !node.tier.route_stats.with_or_insert(entry.route, RouteStats::default, admit) {
-        return Err(Refusal::NotRun { reason: NotRunCode::Overloaded });
+        return Err(Refusal::not_run(NotRunCode::Overloaded));
     }
     refresh_if_stale(node, &catalog, entry).await;
     let query = Query { node, catalog: &catalog, entry, options, body, started };
     let mut after = None;
     for pass in 0..=MAX_RESTARTS {
         let Some(snapshot) = query.choose_snapshot(after) else {
-            return Err(Refusal::NotRun { reason: NotRunCode::NoSnapshot });
+            return Err(Refusal::not_run(NotRunCode::NoSnapshot));
         };
         let can_restart = pass < MAX_RESTARTS && query.choose_snapshot(Some(snapshot)).is_some();
         match query.run_pass(pass, snapshot).await {
@@ -71,7 +71,7 @@
         }
         node.tier.metrics.restarts.inc();
     }
-    Err(Refusal::NotRun { reason: NotRunCode::NoSnapshot })
+    Err(Refusal::not_run(NotRunCode::NoSnapshot))
 }
 
 /// Returns whether a shard is missing because no replica holds the snapshot any more.
@@ -80,7 +80,7 @@
         Ok(answer) => {
             answer.missing.iter().any(|(_, m)| *m == MissingReason::Refused(NotRunCode::NotHeld))
         }
-        Err(refusal) => matches!(refusal, Refusal::NotRun { reason: NotRunCode::NotHeld }),
+        Err(refusal) => matches!(refusal, Refusal::NotRun { reason: NotRunCode::NotHeld, .. }),
     }
 }
 
@@ -188,9 +188,11 @@
 
 fn into_refusal(given_up: GivenUp) -> Refusal {
     let reason = given_up.missing.first().map(|(_, why)| *why);
+    // rounded up, so that the caller does not return before
+    let retry_after_ms = given_up.retry_after.map(|d| d.as_micros().div_ceil(1_000) as u64);
     match (given_up.ran, reason) {
-        (false, Some(MissingReason::Refused(reason))) => Refusal::NotRun { reason },
-        (false, _) => Refusal::NotRun { reason: NotRunCode::TooLate },
+        (false, Some(MissingReason::Refused(reason))) => Refusal::NotRun { reason, retry_after_ms },
+        (false, _) => Refusal::NotRun { reason: NotRunCode::TooLate, retry_after_ms },
         (true, Some(MissingReason::Failed(reason))) => Refusal::OutcomeUnknown { reason },
         (true, _) => Refusal::OutcomeUnknown { reason: Fault::Timeout },
     }
@@ -245,12 +247,13 @@
 async fn refresh_status(node: Arc<Node>, key: ServerKey) {
     let view = node.tier.view();
     let Some(server) = view.server(key) else { return };
+    let listener = node.tier.servers.with(key, |s| s.stats.listener()).unwrap_or_default();
     let Ok(reply) = http::get(server.report.addr, STATUS_URI, STATUS_TIMEOUT).await else { return };
     let mut res = hyper::Response::new(());
     *res.status_mut() = StatusCode::from_u16(reply.status).unwrap_or_default();
     *res.headers_mut() = reply.headers;
     let head = node.tier.codec.parse_response_head(&res.into_parts().0);
-    node.tier.record_run(key, server, &head, node.now());
+    node.tier.record_run(key, ServerRun { server, listener }, &head, node.now());
 }
 
 /// Sends a non-idempotent request to one upstream, and to another only if the first did not run it.
@@ -263,7 +266,7 @@
     let started = node.now();
     let catalog = node.catalog();
     let Some((_, entry)) = catalog.service(service) else {
-        return Err(Refusal::NotRun { reason: NotRunCode::UnknownService });
+        return Err(Refusal::not_run(NotRunCode::UnknownService));
     };
     let request = node.next_id();
     let shard = select_shard(entry, options, request)?;
@@ -291,7 +294,7 @@
     options: &RequestOptions,
     request: u64,
 ) -> Result<&'a ShardEntry, Refusal> {
-    let map = entry.maps.last().ok_or(Refusal::NotRun { reason: NotRunCode::NoReplica })?;
+    let map = entry.maps.last().ok_or(Refusal::not_run(NotRunCode::NoReplica))?;
     match &options.shard {
         Some(name) => {
             let found = map.shards.iter().find(|s| s.name == *name);
