A warmed connection to a server that announced meanwhile that it leaves is closed

A gatherer that opened a connection ahead of requests put it into the pool even if the server had announced while it was being opened that it leaves. It stayed open and idle, which holds up a server that waits for its connections to end.

Cause: only connections that requests return are checked. Both ways use one check now.

--- a/src/transport/upstreams/send.rs
+++ b/src/transport/upstreams/send.rs
@@ -393,11 +393,7 @@
 
     /// Returns a connection to the pool, or closes it if the server is draining.
     fn check_in(&self, conn: Connection, now: Tick) {
-        self.update_server(|s| {
-            if !s.stats.notices.is_draining() {
-                s.connections.check_in(conn, now);
-            }
-        });
+        self.update_server(|s| s.check_in(conn, now));
     }
 
     /// Logs a reply that is not known to be this request's; its connection is closed.
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -34,7 +34,7 @@
 use crate::transport::clock::Clock;
 use crate::transport::http::ReplyBuffers;
 use crate::transport::metrics::Metrics;
-use crate::transport::upstreams::connection_pool::ConnectionPool;
+use crate::transport::upstreams::connection_pool::{Connection, ConnectionPool};
 
 /// Window over which requests count as recent.
 const RECENT_WINDOW: Duration = Duration::from_secs(10);
@@ -123,6 +123,15 @@
     pub(crate) logged_invalid_backoff: bool,
 }
 
+impl ServerState {
+    /// Returns a connection to the pool, or closes it if the server is draining.
+    pub(crate) fn check_in(&mut self, conn: Connection, now: Tick) {
+        if !self.stats.notices.is_draining() {
+            self.connections.check_in(conn, now);
+        }
+    }
+}
+
 /// The statistics and limits of a route.
 pub(crate) struct RouteStats {
     pub(crate) latencies: LatencyHistogram,
--- a/src/transport/upstreams/warm.rs
+++ b/src/transport/upstreams/warm.rs
@@ -69,14 +69,14 @@
     match checkout {
         Checkout::Busy(_) => {}
         Checkout::Idle(conn) => {
-            tier.servers.with(key, |s| s.connections.check_in(conn, now));
+            tier.servers.with(key, |s| s.check_in(conn, now));
         }
         Checkout::MayOpen(permit) => {
             let result = Connection::open(server.report.addr, permit, now).await;
             let cold_duration = view.server_limits(server).cold_duration;
             if let Ok(conn) = tier.record_connect(key, result, cold_duration, now) {
                 let now = tier.now();
-                tier.servers.with(key, |s| s.connections.check_in(conn, now));
+                tier.servers.with(key, |s| s.check_in(conn, now));
             }
         }
     }
