--- a/tests/division.rs
+++ b/tests/division.rs
@@ -467,25 +467,6 @@
 const SOFT_MS: f64 = 120.0;
 const HARD_MS: f64 = 1_000.0;
 
-/// Returns when a range ends, in milliseconds, and how; `answers` are the times of its shards, infinite if they fail.
-fn range_end(answers: &[f64], ratios: RangeRatios) -> (f64, RangeEnd) {
-    let required = |ratio: f64| ((ratio * answers.len() as f64 - 1e-9).ceil() as usize).max(1);
-    let min = required(ratios.min_shard_ratio);
-    let [soft, late] = [ratios.soft_shard_ratio, ratios.late_shard_ratio].map(required);
-    let mut ended: Vec<f64> = answers.iter().copied().filter(|at| at.is_finite()).collect();
-    ended.sort_by(f64::total_cmp);
-    if ended.len() < min {
-        return (50.0, RangeEnd::GivenUp { late: false });
-    }
-    let all = ended[ended.len() - 1];
-    let is_soft_enough = ended.get(soft - 1).is_some_and(|at| *at <= SOFT_MS + 10.0);
-    let enough = if is_soft_enough { soft } else { late };
-    let enough = ended.get(enough - 1).map_or(all, |at| at.max(SOFT_MS));
-    let at = all.min(enough).min(HARD_MS);
-    let missing = answers.len() - ended.iter().filter(|t| **t <= at).count();
-    (at, RangeEnd::Gathered { missing })
-}
-
 /// Returns the shares of requests that are answered by the soft deadline, and at all.
 fn replay_slow_shards(case: &SlowShardsCase, seed: u64, ratios: RangeRatios) -> (f64, f64) {
     const REQUESTS: usize = 400;
@@ -499,21 +480,13 @@
                 *at += -rng.random_range(1e-9f64..1.0).ln() * case.extra_ms;
             }
         }
-        answers[..case.failed].fill(f64::INFINITY);
-        let mut ends: Vec<_> = answers.chunks(30).map(|range| range_end(range, ratios)).collect();
-        ends.sort_by(|(a, _), (b, _)| a.total_cmp(b));
-        let mut progress = RangeProgress::new(180, 0.95, tick(SOFT_MS));
-        let answered_at = ends.iter().find_map(|(at, end)| {
-            progress.record(30, *end, tick(*at));
-            let at = at.max(if progress.decision(tick(*at)) == RangesDecision::Wait {
-                SOFT_MS
-            } else {
-                *at
-            });
-            (progress.decision(tick(at)) == RangesDecision::Answer).then_some(at)
-        });
+        let mut ends: Vec<ShardEnd> =
+            answers.iter().map(|at| (tick(*at), SendResult::Answered)).collect();
+        ends[..case.failed].fill((ms(5), LOST));
+        let answered_at = run_divided(&ends, 1, ratios)
+            .and_then(|(decision, at)| (decision == RangesDecision::Answer).then_some(at));
         answered += usize::from(answered_at.is_some());
-        in_time += usize::from(answered_at.is_some_and(|at| at <= SOFT_MS));
+        in_time += usize::from(answered_at.is_some_and(|at| at <= tick(SOFT_MS)));
     }
     (in_time as f64 / REQUESTS as f64, answered as f64 / REQUESTS as f64)
 }
@@ -637,15 +610,14 @@
     },
 ];
 
+/// When a shard ends, and how.
+type ShardEnd = (Tick, SendResult);
+
 /// Runs the state machine of some shards; returns when it ends, and how.
-fn run_range(
-    case: &DividedCase,
-    shards: std::ops::Range<usize>,
-    ratios: RangeRatios,
-) -> (Tick, RangeEnd) {
+fn run_range(shards: &[ShardEnd], servers: u32, ratios: RangeRatios) -> (Tick, RangeEnd) {
     let RangeRatios { min_shard_ratio, soft_shard_ratio, late_shard_ratio } = ratios;
     let opts = ScatterOptions {
-        shards: shards.clone().map(|n| PoolKey::new(n as u32, 0)).collect(),
+        shards: (0..shards.len() as u32).map(|n| PoolKey::new(n, 0)).collect(),
         max_attempts: 2,
         idempotent: true,
         min_shard_ratio,
@@ -654,20 +626,14 @@
         soft_deadline: ms(SOFT_MS as u64),
         hard_deadline: ms(HARD_MS as u64),
     };
-    let mut servers = SpentBudget { servers: case.servers };
+    let mut servers = SpentBudget { servers };
     let (mut scatter, sends) = Scatter::start(opts, &mut servers, ms(0));
-    let end_of = |shard: usize| {
-        let special = case.ends.iter().find(|e| e.shards.contains(&shard));
-        special.map_or((50, SendResult::Answered), |e| (e.at, e.result))
-    };
-    let mut ends: Vec<_> =
-        sends.iter().map(|s| (end_of(shards.start + s.shard), s.shard, s.server)).collect();
+    let mut ends: Vec<_> = sends.iter().map(|s| (shards[s.shard], s.shard, s.server)).collect();
     ends.sort_by_key(|((at, _), ..)| *at);
     let mut ends = ends.into_iter().peekable();
     let mut now = ms(0);
     loop {
-        while let Some(((_, result), shard, server)) = ends.next_if(|((at, _), ..)| ms(*at) <= now)
-        {
+        while let Some(((_, result), shard, server)) = ends.next_if(|((at, _), ..)| *at <= now) {
             scatter.record_result((shard, server), result, &mut servers, now);
         }
         scatter.hedge_overdue(&mut servers, now);
@@ -679,33 +645,48 @@
             Decision::GiveUp { .. } => return (now, RangeEnd::GivenUp { late: false }),
             Decision::Wait => {}
         }
-        let next_end = ends.peek().map(|((at, _), ..)| ms(*at));
+        let next_end = ends.peek().map(|((at, _), ..)| *at);
         now = scatter.next_wake(now).min(next_end.unwrap_or(ms(HARD_MS as u64)));
     }
 }
 
+/// Runs the state machines of a request in ranges of 30 shards; returns its end, and when.
+fn run_divided(
+    shards: &[ShardEnd],
+    servers: u32,
+    ratios: RangeRatios,
+) -> Option<(RangesDecision, Tick)> {
+    let mut ends: Vec<_> =
+        shards.chunks(30).map(|range| run_range(range, servers, ratios)).collect();
+    ends.sort_by_key(|(at, _)| *at);
+    let mut progress = RangeProgress::new(shards.len(), 0.95, ms(SOFT_MS as u64));
+    ends.iter().find_map(|(at, end)| {
+        progress.record(30, *end, *at);
+        // a range that answers in time may wait for those that end later until the soft deadline
+        [*at, (*at).max(ms(SOFT_MS as u64))].into_iter().find_map(|at| {
+            let decision = progress.decision(at);
+            (decision != RangesDecision::Wait).then_some((decision, at))
+        })
+    })
+}
+
 #[test]
 fn a_divided_request_is_answered_where_an_undivided_one_is() {
     let mut failures = Vec::new();
     for case in DIVIDED {
-        let whole = range_ratios(0.95, 180, 180);
-        let (at, end) = run_range(case, 0..180, whole);
+        let mut shards = vec![(ms(50), SendResult::Answered); 180];
+        for ends in case.ends {
+            ends.shards.iter().for_each(|n| shards[*n] = (ms(ends.at), ends.result));
+        }
+        let (at, end) = run_range(&shards, case.servers, range_ratios(0.95, 180, 180));
         assert!(matches!(end, RangeEnd::Gathered { .. }), "{}: {end:?}", case.name);
         assert_eq!(at, ms(case.whole_at), "{}", case.name);
-        let range = |n: usize| run_range(case, 30 * n..30 * (n + 1), range_ratios(0.95, 180, 30));
-        let mut ends: Vec<_> = (0..6).map(range).collect();
-        ends.sort_by_key(|(at, _)| *at);
-        let mut progress = RangeProgress::new(180, 0.95, ms(SOFT_MS as u64));
-        let decision = ends.iter().find_map(|(at, end)| {
-            progress.record(30, *end, *at);
-            let decision = progress.decision(*at);
-            (decision != RangesDecision::Wait).then_some((decision, at.0 / 1_000))
-        });
+        let decision = run_divided(&shards, case.servers, range_ratios(0.95, 180, 30));
         println!("case: {}: {decision:?}", case.name);
-        let is_answered =
-            decision.is_some_and(|(d, at)| d == RangesDecision::Answer && at <= case.divided_by);
+        let is_answered = decision
+            .is_some_and(|(d, at)| d == RangesDecision::Answer && at <= ms(case.divided_by));
         if !is_answered {
-            println!("failed: {}: {decision:?}, ranges end {ends:?}", case.name);
+            println!("failed: {}: {decision:?}", case.name);
             failures.push(case.name);
         }
     }
