A gatherer weighs each request by its route, not by its own callers' requests

In a failure domain that is cut from the others, callers waited for requests that the gatherers of the domain knew not to be servable: these accept requests of the whole domain, and refused one only while they could not serve half of the requests of their own callers, of which a gatherer has few or none.

Class: a decision for others, weighed by one's own part of the load.

must_refuse weighs the route alone. What kept false alarms from turning away what could be served was the interval between two evaluations, which came after a round of probes; DomainHealth now states that reason: a domain is unreachable when it is unresponsive and a probe has failed too. Readiness is still weighed by the instance's own callers, whom alone it sends elsewhere.

--- a/src/coordination/domain_health.rs
+++ b/src/coordination/domain_health.rs
@@ -2,12 +2,17 @@
 //!
 //! A network partition makes all servers of a domain unresponsive at once. If each server had to be
 //! ejected by its own failures, queries over many shards would keep hitting one of them for a long time.
+//!
+//! The load pattern of a false alarm: an instance without processor time for some tenths of a second misses answers of a
+//! sound domain. Choosing other servers meanwhile does no harm; refusing requests does, and waits for a failed probe.
 
 use std::time::Duration;
 
 use crate::coordination::outlier::OutlierDetector;
 use crate::state::time::Tick;
 
+/// Interval between two probes of an unresponsive domain.
+pub(crate) const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 /// Consecutive misses after which a domain counts as unresponsive.
 const EJECT_MISSES: u32 = 8;
 /// Minimum time span of the misses; a burst at one moment may come from a pause of this process.
@@ -23,6 +28,8 @@
     misses: u32,
     first_miss_at: Tick,
     outlier: OutlierDetector,
+    /// Whether a probe has failed since the domain became unresponsive.
+    probe_failed: bool,
 }
 
 impl DomainHealth {
@@ -55,9 +62,15 @@
     /// Records an answer from the domain; returns whether the domain was unresponsive.
     pub fn record_answer(&mut self) -> bool {
         self.misses = 0;
+        self.probe_failed = false;
         self.outlier.record_answer()
     }
 
+    /// Records that a connection to an unresponsive domain could not be opened.
+    pub fn record_failed_probe(&mut self) {
+        self.probe_failed = self.is_unresponsive();
+    }
+
     /// Returns whether a request may be sent; an unresponsive domain gets one probe at a time.
     pub fn can_send(&self, now: Tick) -> bool {
         self.outlier.can_send(true, now)
@@ -72,4 +85,9 @@
     pub fn is_unresponsive(&self) -> bool {
         self.outlier.is_ejected()
     }
+
+    /// Returns whether the domain is unreachable: it is unresponsive, and the last probe failed.
+    pub fn is_unreachable(&self) -> bool {
+        self.is_unresponsive() && self.probe_failed
+    }
 }
--- a/src/coordination/reachability.rs
+++ b/src/coordination/reachability.rs
@@ -1,4 +1,7 @@
 //! Whether enough servers of a route are reachable to answer its requests, and when enough may be sent one.
+//!
+//! The load pattern: a failure domain is cut from the others for some seconds. A few of its instances gather the requests
+//! of all of it; these have few callers of their own, so that each request is weighed by its route alone.
 
 use crate::coordination::scatter::required_shards;
 use crate::coordination::server_notices::Availability;
--- a/src/transport/callers/proxy.rs
+++ b/src/transport/callers/proxy.rs
@@ -85,7 +85,7 @@
         self.tier.route_stats.with_or_insert(route.key, RouteStats::default, count_request);
         if self.tier.must_refuse(route) {
             let (id, unresponsive) =
-                (caller_request.id.as_str(), self.tier.unresponsive_domains().join(","));
+                (caller_request.id.as_str(), self.tier.unreachable_domains().join(","));
             log::info!(request = id, dark = unresponsive.as_str(); "request refused because too few shards are reachable");
             return Err(DeclineReason::NotRun { after: RETRY_AFTER_UNREACHABLE });
         }
--- a/src/transport/upstreams/probe.rs
+++ b/src/transport/upstreams/probe.rs
@@ -12,13 +12,12 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::coordination::domain_health::PROBE_INTERVAL;
 use crate::coordination::reachability::is_unreachable;
 use crate::state::routes::Route;
 use crate::state::topology::Server;
 use crate::transport::upstreams::tier::{RouteStats, Tier};
 
-/// Interval between two rounds of probes.
-const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 /// Timeout of opening a connection: several round trips between failure domains.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -35,26 +34,32 @@
     }
 }
 
-/// Opens a connection to a random server of a domain; success marks the domain as responsive.
+/// Opens a connection to a random server of a domain; success marks the domain as responsive, failure as unreachable.
 async fn probe_domain(tier: &Tier, domain: &str) {
     let view = tier.view();
     let servers = view.servers().map(|(_, s)| s).filter(|s| s.report.domain == domain);
     let Some(server) = servers.choose(&mut rand::rng()) else { return };
-    if let Ok(Ok(_)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(server.report.addr)).await {
-        tier.with_domain(domain, |d| d.record_answer());
-    }
+    let is_open =
+        matches!(timeout(CONNECT_TIMEOUT, TcpStream::connect(server.report.addr)).await, Ok(Ok(_)));
+    tier.with_domain(domain, |d| {
+        if is_open {
+            d.record_answer();
+        } else {
+            d.record_failed_probe()
+        }
+    });
 }
 
 /// Returns whether at least half of the recent requests were for routes that can be answered.
 fn can_serve(tier: &Tier) -> bool {
-    let unresponsive = tier.unresponsive_domains();
-    if unresponsive.is_empty() {
+    let unreachable_domains = tier.unreachable_domains();
+    if unreachable_domains.is_empty() {
         return true;
     }
     let view = tier.view();
     let Some(table) = &view.route_table else { return true };
     let now = tier.now();
-    let is_responsive = |server: &Server| !unresponsive.contains(&server.report.domain);
+    let is_responsive = |server: &Server| !unreachable_domains.contains(&server.report.domain);
     let (mut total, mut unreachable) = (0, 0);
     for route in &table.routes {
         let recent =
@@ -69,12 +74,10 @@
 }
 
 impl Tier {
-    /// Returns whether requests for a route must be refused because too few of its servers are reachable.
+    /// Returns whether requests for a route must be refused because this instance reaches too few of its servers.
     pub(crate) fn must_refuse(&self, route: &Route) -> bool {
-        if self.can_serve() {
-            return false;
-        }
-        let unresponsive = self.unresponsive_domains();
-        is_unreachable(route, &self.view(), |s| !unresponsive.contains(&s.report.domain))
+        let domains = self.unreachable_domains();
+        !domains.is_empty()
+            && is_unreachable(route, &self.view(), |s| !domains.contains(&s.report.domain))
     }
 }
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -265,8 +265,17 @@
 
     /// Returns the unresponsive failure domains.
     pub(crate) fn unresponsive_domains(&self) -> Vec<String> {
+        self.domains_that(DomainHealth::is_unresponsive)
+    }
+
+    /// Returns the unresponsive failure domains that a probe did not reach either.
+    pub(crate) fn unreachable_domains(&self) -> Vec<String> {
+        self.domains_that(DomainHealth::is_unreachable)
+    }
+
+    fn domains_that(&self, holds: impl Fn(&DomainHealth) -> bool) -> Vec<String> {
         let domains = self.domains.lock();
-        domains.iter().filter(|(_, d)| d.is_unresponsive()).map(|(name, _)| name.clone()).collect()
+        domains.iter().filter(|(_, d)| holds(d)).map(|(name, _)| name.clone()).collect()
     }
 
     /// Returns whether this instance is leaving.
--- a/tests/beliefs.rs
+++ b/tests/beliefs.rs
@@ -246,39 +246,47 @@
     name: &'static str,
     steps: fn(&mut DomainHealth),
     unresponsive: bool,
+    /// Whether requests that need the domain are refused.
+    unreachable: bool,
 }
 
 const HEALTH: &[HealthCase] = &[
-    HealthCase { name: "no requests", steps: |_| {}, unresponsive: false },
+    HealthCase { name: "no requests", steps: |_| {}, unresponsive: false, unreachable: false },
     HealthCase {
         name: "a few overdue",
         steps: |d| (0..7).for_each(|n| d.record_overdue(ms(n * 20))),
         unresponsive: false,
+        unreachable: false,
     },
     HealthCase {
         name: "many overdue",
         steps: |d| (0..8).for_each(|n| d.record_overdue(ms(n * 20))),
         unresponsive: true,
+        unreachable: false,
     },
     HealthCase {
         name: "many overdue at the same time",
         steps: |d| (0..30).for_each(|_| d.record_overdue(ms(1))),
         unresponsive: false,
+        unreachable: false,
     },
     HealthCase {
         name: "some silent",
         steps: |d| (0..3).for_each(|n| d.record_unanswered(ms(n * 30))),
         unresponsive: true,
+        unreachable: false,
     },
     HealthCase {
         name: "three refused",
         steps: |d| (0..3).for_each(|n| d.record_refused(ms(n * 30))),
         unresponsive: false,
+        unreachable: false,
     },
     HealthCase {
         name: "four refused",
         steps: |d| (0..4).for_each(|n| d.record_refused(ms(n * 30))),
         unresponsive: true,
+        unreachable: false,
     },
     HealthCase {
         name: "an answer between",
@@ -288,6 +296,7 @@
             (7..14).for_each(|n| d.record_overdue(ms(n * 20)));
         },
         unresponsive: false,
+        unreachable: false,
     },
     HealthCase {
         name: "an answer afterwards",
@@ -296,6 +305,48 @@
             assert!(d.record_answer());
         },
         unresponsive: false,
+        unreachable: false,
+    },
+    HealthCase {
+        name: "a probe fails too",
+        steps: |d| {
+            (0..8).for_each(|n| d.record_overdue(ms(n * 20)));
+            d.record_failed_probe();
+        },
+        unresponsive: true,
+        unreachable: true,
+    },
+    HealthCase {
+        name: "a probe fails, the next one is answered",
+        steps: |d| {
+            (0..8).for_each(|n| d.record_overdue(ms(n * 20)));
+            d.record_failed_probe();
+            d.record_answer();
+        },
+        unresponsive: false,
+        unreachable: false,
+    },
+    HealthCase {
+        name: "an alarm after the end of another one",
+        steps: |d| {
+            (0..8).for_each(|n| d.record_overdue(ms(n * 20)));
+            d.record_failed_probe();
+            d.record_answer();
+            (0..8).for_each(|n| d.record_overdue(ms(n * 20)));
+        },
+        unresponsive: true,
+        unreachable: false,
+    },
+    HealthCase {
+        name: "an answer while a probe was on its way",
+        steps: |d| {
+            (0..8).for_each(|n| d.record_overdue(ms(n * 20)));
+            d.record_answer();
+            d.record_failed_probe();
+            (0..8).for_each(|n| d.record_overdue(ms(n * 20)));
+        },
+        unresponsive: true,
+        unreachable: false,
     },
 ];
 
@@ -305,6 +356,7 @@
         let mut health = DomainHealth::default();
         (case.steps)(&mut health);
         assert_eq!(health.is_unresponsive(), case.unresponsive, "{}", case.name);
+        assert_eq!(health.is_unreachable(), case.unreachable, "{}", case.name);
         assert_eq!(health.can_send(ms(200)), !case.unresponsive, "{}", case.name);
         assert!(health.can_send(ms(5_000)), "{}: tried again later", case.name);
     }
