Requests of a cut domain are refused without another offer to its gatherers

Callers in a failure domain that is cut from the others waited in vain for a request whose gatherers had refused it: a refusal because of a cut excluded the gatherer for a second. The ranges of one request are offered at the same time, one to each gatherer, so that after the first refusals none was left for a second opinion, and the instance, small and without connections, gathered the ranges itself.

Class: a measure against one failing peer, applied to what all peers have in common.

A gatherer that refuses so is not excluded. If two of the instance's own domain refuse, the instance refuses the request as not run, and further ones to the route without an offer until the gatherers' next probe (CutReport): they learn nothing new before it. Requests that are forwarded whole follow the same rule (RangeRefusals). Gatherers of another domain prove nothing about the own one; the next request may go to a third. What was heard is not passed on: a gatherer refuses by its own probes alone.

The table in tests/gatherers.rs stated the exclusion, which was the fault; it states now that the gatherer is asked again. tests/division.rs: who may be taken at their word.

--- a/src/coordination/division.rs
+++ b/src/coordination/division.rs
@@ -128,20 +128,31 @@
 pub struct RangeRefusals {
     count: usize,
     cut: usize,
+    /// Number of `cut` by gatherers of this instance's failure domain.
+    cut_nearby: usize,
     no_gatherer_fits: bool,
 }
 
 impl RangeRefusals {
-    /// Records why a gatherer refused the range.
-    pub fn record(&mut self, why: GatherRefusal) {
+    /// Records why a gatherer refused the range; `is_nearby` if it is in this instance's failure domain.
+    pub fn record(&mut self, why: GatherRefusal, is_nearby: bool) {
         self.count += 1;
         match why {
-            GatherRefusal::Cut => self.cut += 1,
+            GatherRefusal::Cut => {
+                self.cut += 1;
+                self.cut_nearby += usize::from(is_nearby);
+            }
             GatherRefusal::Version | GatherRefusal::Unfit => self.no_gatherer_fits = true,
             GatherRefusal::Late | GatherRefusal::Leaving | GatherRefusal::Busy => {}
         }
     }
 
+    /// Returns whether this instance's own failure domain reaches too few shards; another one that does not may be chosen by
+    /// chance.
+    pub fn is_domain_cut(&self) -> bool {
+        self.cut_nearby == MAX_REFUSALS
+    }
+
     /// Returns what to do next.
     pub fn next_step(&self) -> RangeStep {
         if self.cut == MAX_REFUSALS {
--- a/src/coordination/gatherers.rs
+++ b/src/coordination/gatherers.rs
@@ -68,8 +68,10 @@
     /// Returns how long the gatherer is excluded from selection.
     pub fn exclusion_time(self) -> Duration {
         match self {
+            // a cut is that of the whole domain as a rule: without its gatherers a request would be gathered in vain here
+            GatherRefusal::Cut => Duration::ZERO,
             GatherRefusal::Version | GatherRefusal::Unfit | GatherRefusal::Busy => Duration::ZERO,
-            GatherRefusal::Late | GatherRefusal::Leaving | GatherRefusal::Cut => EXCLUSION_TIME,
+            GatherRefusal::Late | GatherRefusal::Leaving => EXCLUSION_TIME,
         }
     }
 
--- a/src/coordination/reachability.rs
+++ b/src/coordination/reachability.rs
@@ -3,12 +3,35 @@
 //! The load pattern: a failure domain is cut from the others for some seconds. A few of its instances gather the requests
 //! of all of it; these have few callers of their own, so that each request is weighed by its route alone.
 
+use crate::coordination::domain_health::PROBE_INTERVAL;
 use crate::coordination::scatter::required_shards;
 use crate::coordination::server_notices::Availability;
 use crate::state::arena::{PoolKey, ServerKey};
 use crate::state::routes::{Route, Target};
+use crate::state::time::Tick;
 use crate::state::topology::{Server, TopologyView};
 
+/// What the gatherers of this instance's failure domain said about a route: that too few of its shards are reachable.
+///
+/// An instance that forwards its requests sends too few itself to notice. What gatherers say holds for as long as they learn
+/// nothing new, that is until their next probe.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CutReport {
+    holds_until: Tick,
+}
+
+impl CutReport {
+    /// Records that the gatherers refused a request to the route.
+    pub fn record(&mut self, now: Tick) {
+        self.holds_until = now + PROBE_INTERVAL;
+    }
+
+    /// Returns whether a request is refused without asking them again.
+    pub fn holds(&self, now: Tick) -> bool {
+        now < self.holds_until
+    }
+}
+
 /// Returns whether a route cannot be answered because too many of its servers are unresponsive.
 ///
 /// A shard without any server does not count, since no other instance could do better.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,7 +36,7 @@
 pub use coordination::outlier::OutlierDetector;
 pub use coordination::peer_clock::{MAX_CLOCK_ERROR, PeerClock};
 pub use coordination::query::{Answer, MissingReason};
-pub use coordination::reachability::{available_from, is_unreachable};
+pub use coordination::reachability::{CutReport, available_from, is_unreachable};
 pub use coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
 pub use coordination::return_times::{ReturnTimes, ServiceShare};
 pub use coordination::round_robin::WeightedRoundRobin;
--- a/src/transport/callers/divide.rs
+++ b/src/transport/callers/divide.rs
@@ -121,13 +121,13 @@
             match self.forward(&gatherer, (route, shards.clone()), job, view).await {
                 Ok(result) => return result,
                 Err(why) => {
-                    refusals.record(why);
+                    refusals.record(why, gatherer.domain() == peers.opts.me.domain);
                     refused.push(gatherer.addr());
                 }
             }
         }
-        if let RangeStep::Refuse { retry_after } = refusals.next_step() {
-            return Err(DeclineReason::NotRun { after: retry_after });
+        if let Some(reason) = self.refuse_cut(&refusals, route) {
+            return Err(reason);
         }
         let mut job = job.clone();
         let RangeRatios { min_shard_ratio, soft_shard_ratio, late_shard_ratio } =
--- a/src/transport/callers/forward.rs
+++ b/src/transport/callers/forward.rs
@@ -11,7 +11,7 @@
 use hyper::header::HeaderValue;
 use indexmap::IndexMap;
 
-use crate::coordination::division::{RangeRatios, range_ratios};
+use crate::coordination::division::{RangeRatios, RangeRefusals, RangeStep, range_ratios};
 use crate::coordination::gatherers::{
     GatherContext, GatherRefusal, can_take, is_heavy, select_gatherers, shards_by_domain,
 };
@@ -29,9 +29,6 @@
 use crate::transport::peers::gather::{GatherFailure, GatherHandler, Gatherer};
 use crate::transport::upstreams::run::{GivenUp, Job, run};
 
-/// Maximum number of busy gatherers that a request is offered to; this instance then gathers it.
-const MAX_BUSY_GATHERERS: usize = 2;
-
 impl<C: CallerCodec> Proxy<C> {
     /// Forwards a request to a gatherer; returns `None` if this instance gathers it itself.
     pub(crate) async fn try_forward(
@@ -41,26 +38,45 @@
         job: &Job,
         view: &TopologyView,
     ) -> Option<Result<FullResponse, DeclineReason>> {
-        let mut refused = Vec::new();
-        while refused.len() < MAX_BUSY_GATHERERS
-            && let Some(gatherer) = self.select_gatherer(gathering, view, &refused)
+        let (mut refusals, mut refused, mut is_busy) =
+            (RangeRefusals::default(), Vec::new(), false);
+        while refusals.next_step() == RangeStep::Offer
+            && let Some(gatherer) = self.select_gatherer(gathering, view, &refused, is_busy)
         {
             let shards = 0..gathering.shards.len();
             match self.forward(&gatherer, (route, shards), job, view).await {
                 Ok(result) => return Some(result.map(|parts| self.gathered_response(parts))),
-                Err(GatherRefusal::Busy) => refused.push(gatherer.addr()),
+                Err(why @ (GatherRefusal::Busy | GatherRefusal::Cut)) => {
+                    refusals.record(why, gatherer.domain() == self.tier.opts.domain);
+                    refused.push(gatherer.addr());
+                    is_busy = why == GatherRefusal::Busy;
+                }
                 Err(_) => break,
             }
         }
-        None
+        self.refuse_cut(&refusals, route).map(Err)
+    }
+
+    /// Returns why a request is refused if its gatherers reach too few shards, and remembers it.
+    pub(crate) fn refuse_cut(
+        &self,
+        refusals: &RangeRefusals,
+        route: &Route,
+    ) -> Option<DeclineReason> {
+        let RangeStep::Refuse { retry_after } = refusals.next_step() else { return None };
+        if refusals.is_domain_cut() {
+            self.tier.record_cut(route.key);
+        }
+        Some(DeclineReason::NotRun { after: retry_after })
     }
 
-    /// Selects the gatherer for a request; none if this instance gathers it itself.
+    /// Selects the gatherer for a request; none if this instance gathers it itself. `is_busy` if the one before was busy.
     fn select_gatherer(
         &self,
         gathering: &ScatterGather,
         view: &TopologyView,
         refused: &[SocketAddr],
+        is_busy: bool,
     ) -> Option<Gatherer> {
         let peers = self.peers.as_ref()?;
         let (context, members) = (self.gather_context(peers, gathering), peers.members());
@@ -72,7 +88,7 @@
         }
         let width = if is_heavy(first.power, context.shard_count) {
             let (now, mut spread) = (self.tier.now(), self.tier.spread.lock());
-            if !refused.is_empty() {
+            if is_busy {
                 spread.record_busy(gatherers.len(), now);
             }
             spread.width(now)
--- a/src/transport/callers/proxy.rs
+++ b/src/transport/callers/proxy.rs
@@ -83,7 +83,7 @@
         let route = find_route(&table, &req).ok_or(DeclineReason::NoRoute)?;
         let count_request = |s: &mut RouteStats| s.recent_requests.add(arrival.arrived_at);
         self.tier.route_stats.with_or_insert(route.key, RouteStats::default, count_request);
-        if self.tier.must_refuse(route) {
+        if self.tier.must_refuse(route) || self.tier.is_reported_cut(route.key) {
             let (id, unresponsive) =
                 (caller_request.id.as_str(), self.tier.unreachable_domains().join(","));
             log::info!(request = id, dark = unresponsive.as_str(); "request refused because too few shards are reachable");
--- a/src/transport/peers/gather.rs
+++ b/src/transport/peers/gather.rs
@@ -184,6 +184,11 @@
         self.member.id.name()
     }
 
+    /// Returns the failure domain of the instance.
+    pub(crate) fn domain(&self) -> &str {
+        &self.member.domain
+    }
+
     /// Returns the address of its peer listener.
     pub(crate) fn addr(&self) -> SocketAddr {
         self.member.addr
--- a/src/transport/upstreams/probe.rs
+++ b/src/transport/upstreams/probe.rs
@@ -14,6 +14,7 @@
 
 use crate::coordination::domain_health::PROBE_INTERVAL;
 use crate::coordination::reachability::is_unreachable;
+use crate::state::arena::RouteKey;
 use crate::state::routes::Route;
 use crate::state::topology::Server;
 use crate::transport::upstreams::tier::{RouteStats, Tier};
@@ -80,4 +81,17 @@
         !domains.is_empty()
             && is_unreachable(route, &self.view(), |s| !domains.contains(&s.report.domain))
     }
+
+    /// Records that the gatherers of this instance's failure domain reach too few shards of a route.
+    pub(crate) fn record_cut(&self, route: RouteKey) {
+        let now = self.now();
+        self.route_stats.with_or_insert(route, RouteStats::default, |s| s.cut_report.record(now));
+    }
+
+    /// Returns whether the gatherers of this instance's failure domain said lately that they reach too few shards of a route.
+    pub(crate) fn is_reported_cut(&self, route: RouteKey) -> bool {
+        let now = self.now();
+        let reported = self.route_stats.with(route, |s: &mut RouteStats| s.cut_report.holds(now));
+        reported.unwrap_or_default()
+    }
 }
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -13,7 +13,7 @@
 use crate::coordination::latency_histogram::LatencyHistogram;
 use crate::coordination::lifecycle::StopOptions;
 use crate::coordination::limiter::Limiter;
-use crate::coordination::reachability;
+use crate::coordination::reachability::{self, CutReport};
 use crate::coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
 use crate::coordination::return_times::ReturnTimes;
 use crate::coordination::round_robin::WeightedRoundRobin;
@@ -122,6 +122,7 @@
     pub(crate) limiter: Limiter,
     pub(crate) recent_requests: SlidingWindow,
     pub(crate) return_times: ReturnTimes,
+    pub(crate) cut_report: CutReport,
 }
 
 impl Default for RouteStats {
@@ -133,6 +134,7 @@
             limiter: Limiter::default(),
             recent_requests: SlidingWindow::new(RECENT_WINDOW),
             return_times: ReturnTimes::default(),
+            cut_report: CutReport::default(),
         }
     }
 }
--- a/tests/beliefs.rs
+++ b/tests/beliefs.rs
@@ -8,8 +8,9 @@
 use indexmap::IndexMap;
 use support::ms;
 use tamarackdeck::{
-    DomainHealth, Key, NameInterner, PoolKey, PoolLimits, Route, RouteTable, ScatterGather, Server,
-    ServerReport, Target, Topology, WeightedRoundRobin, is_unreachable, top_records,
+    CutReport, DomainHealth, Key, NameInterner, PoolKey, PoolLimits, Route, RouteTable,
+    ScatterGather, Server, ServerReport, Target, Topology, WeightedRoundRobin, is_unreachable,
+    top_records,
 };
 
 fn route(names: &NameInterner, name: &str, host: &str, prefix: &str) -> Route {
@@ -433,3 +434,28 @@
         );
     }
 }
+
+struct ReportCase {
+    name: &'static str,
+    /// When gatherers refused, in milliseconds.
+    refused: &'static [u64],
+    now: u64,
+    holds: bool,
+}
+
+const REPORTS: &[ReportCase] = &[
+    ReportCase { name: "none", refused: &[], now: 0, holds: false },
+    ReportCase { name: "just now", refused: &[1_000], now: 1_000, holds: true },
+    ReportCase { name: "before their next probe", refused: &[1_000], now: 1_299, holds: true },
+    ReportCase { name: "asked again after it", refused: &[1_000], now: 1_300, holds: false },
+    ReportCase { name: "refused again", refused: &[1_000, 1_300], now: 1_500, holds: true },
+];
+
+#[test]
+fn what_gatherers_refuse_is_not_offered_again_before_their_next_probe() {
+    for case in REPORTS {
+        let mut report = CutReport::default();
+        case.refused.iter().for_each(|at| report.record(ms(*at)));
+        assert_eq!(report.holds(ms(case.now)), case.holds, "{}", case.name);
+    }
+}
--- a/tests/division.rs
+++ b/tests/division.rs
@@ -161,31 +161,62 @@
 struct RefusalCase {
     name: &'static str,
     refusals: &'static [GatherRefusal],
+    /// Whether the gatherers are in the instance's own failure domain.
+    is_nearby: bool,
     step: RangeStep,
+    /// Whether the next request is refused without an offer.
+    is_domain_cut: bool,
+}
+
+impl RefusalCase {
+    const DEFAULT: Self = Self {
+        name: "none yet",
+        refusals: &[],
+        is_nearby: true,
+        step: RangeStep::Offer,
+        is_domain_cut: false,
+    };
 }
 
 const REFUSALS: &[RefusalCase] = &[
-    RefusalCase { name: "none yet", refusals: &[], step: RangeStep::Offer },
-    RefusalCase { name: "a busy one", refusals: &[GatherRefusal::Busy], step: RangeStep::Offer },
+    RefusalCase::DEFAULT,
+    RefusalCase { name: "a busy one", refusals: &[GatherRefusal::Busy], ..RefusalCase::DEFAULT },
     RefusalCase {
         name: "two busy ones",
         refusals: &[GatherRefusal::Busy, GatherRefusal::Busy],
         step: RangeStep::GatherHere,
+        ..RefusalCase::DEFAULT
     },
     RefusalCase {
         name: "one with other routes",
         refusals: &[GatherRefusal::Version],
         step: RangeStep::GatherHere,
+        ..RefusalCase::DEFAULT
     },
     RefusalCase {
         name: "one that is cut may be alone in it",
         refusals: &[GatherRefusal::Cut, GatherRefusal::Leaving],
         step: RangeStep::GatherHere,
+        ..RefusalCase::DEFAULT
+    },
+    RefusalCase {
+        name: "one that is cut: another is asked",
+        refusals: &[GatherRefusal::Cut],
+        ..RefusalCase::DEFAULT
     },
     RefusalCase {
         name: "a failure domain that is cut",
         refusals: &[GatherRefusal::Cut, GatherRefusal::Cut],
         step: RangeStep::Refuse { retry_after: Duration::from_millis(10) },
+        is_domain_cut: true,
+        ..RefusalCase::DEFAULT
+    },
+    RefusalCase {
+        name: "another failure domain that is cut: the next request may go to a third one",
+        refusals: &[GatherRefusal::Cut, GatherRefusal::Cut],
+        is_nearby: false,
+        step: RangeStep::Refuse { retry_after: Duration::from_millis(10) },
+        ..RefusalCase::DEFAULT
     },
 ];
 
@@ -193,8 +224,9 @@
 fn a_range_that_gatherers_can_not_reach_is_refused() {
     for case in REFUSALS {
         let mut refusals = RangeRefusals::default();
-        case.refusals.iter().for_each(|why| refusals.record(*why));
+        case.refusals.iter().for_each(|why| refusals.record(*why, case.is_nearby));
         assert_eq!(refusals.next_step(), case.step, "{}", case.name);
+        assert_eq!(refusals.is_domain_cut(), case.is_domain_cut, "{}", case.name);
     }
 }
 
--- a/tests/gatherers.rs
+++ b/tests/gatherers.rs
@@ -276,13 +276,13 @@
     RefusalCase { why: GatherRefusal::Version, excluded: false, invalidates_clock: false },
     RefusalCase { why: GatherRefusal::Unfit, excluded: false, invalidates_clock: false },
     RefusalCase { why: GatherRefusal::Busy, excluded: false, invalidates_clock: false },
+    RefusalCase { why: GatherRefusal::Cut, excluded: false, invalidates_clock: false },
     RefusalCase { why: GatherRefusal::Leaving, excluded: true, invalidates_clock: false },
-    RefusalCase { why: GatherRefusal::Cut, excluded: true, invalidates_clock: false },
     RefusalCase { why: GatherRefusal::Late, excluded: true, invalidates_clock: true },
 ];
 
 #[test]
-fn a_gatherer_with_another_version_is_asked_again_at_once() {
+fn a_gatherer_that_may_take_the_next_request_is_asked_again_at_once() {
     for case in REFUSALS {
         let why = case.why;
         assert_eq!(!why.exclusion_time().is_zero(), case.excluded, "{why:?}");
