Two servers of an unresponsive domain are probed, so that a crashed one proves nothing

A failed probe now turns requests away, and a server that crashed is listed for some seconds more. With one random server a false alarm would meet such a one as often as servers of the domain have crashed; with two, both must be unreachable.

Class: a conclusion about many drawn from one sample. Found by reading, no callers seen.

Evidence: platform/tests/cut_domain.rs and missing_shards.rs pass as before.

--- a/src/transport/upstreams/probe.rs
+++ b/src/transport/upstreams/probe.rs
@@ -4,10 +4,13 @@
 //! requests immediately and reports that it is not ready, so that callers go to other instances. Without
 //! requests it would not notice the end of the partition, hence the probes.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::future::join_all;
+use futures::StreamExt;
+use futures::future::{self, join_all};
+use futures::stream::FuturesUnordered;
 use rand::seq::IteratorRandom;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -21,6 +24,8 @@
 
 /// Timeout of opening a connection: several round trips between failure domains.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Servers of a domain that are probed at a time; one that crashed is listed for some seconds more.
+const PROBED_SERVERS: usize = 2;
 
 /// Probes unresponsive failure domains for as long as the process runs.
 pub async fn run(tier: Arc<Tier>) {
@@ -35,22 +40,29 @@
     }
 }
 
-/// Opens a connection to a random server of a domain; success marks the domain as responsive, failure as unreachable.
+/// Opens connections to random servers of a domain; success marks the domain as responsive, failure as unreachable.
 async fn probe_domain(tier: &Tier, domain: &str) {
     let view = tier.view();
     let servers = view.servers().map(|(_, s)| s).filter(|s| s.report.domain == domain);
-    let Some(server) = servers.choose(&mut rand::rng()) else { return };
-    let is_open =
-        matches!(timeout(CONNECT_TIMEOUT, TcpStream::connect(server.report.addr)).await, Ok(Ok(_)));
+    let servers = servers.sample(&mut rand::rng(), PROBED_SERVERS);
+    if servers.is_empty() {
+        return;
+    }
+    let probes: FuturesUnordered<_> = servers.iter().map(|s| can_connect(s.report.addr)).collect();
+    let is_open = probes.any(future::ready).await;
     tier.with_domain(domain, |d| {
         if is_open {
             d.record_answer();
         } else {
-            d.record_failed_probe()
+            d.record_failed_probe();
         }
     });
 }
 
+async fn can_connect(addr: SocketAddr) -> bool {
+    matches!(timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await, Ok(Ok(_)))
+}
+
 /// Returns whether at least half of the recent requests were for routes that can be answered.
 fn can_serve(tier: &Tier) -> bool {
     let unreachable_domains = tier.unreachable_domains();
