--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -13,7 +13,7 @@
 use crate::coordination::latency_histogram::LatencyHistogram;
 use crate::coordination::lifecycle::StopOptions;
 use crate::coordination::limiter::Limiter;
-use crate::coordination::reachability;
+use crate::coordination::reachability::{self, CutReport};
 use crate::coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
 use crate::coordination::return_times::ReturnTimes;
 use crate::coordination::round_robin::WeightedRoundRobin;
@@ -140,6 +140,7 @@
     pub(crate) limiter: Limiter,
     pub(crate) recent_requests: SlidingWindow,
     pub(crate) return_times: ReturnTimes,
+    pub(crate) cut_report: CutReport,
 }
 
 impl Default for RouteStats {
@@ -151,6 +152,7 @@
             limiter: Limiter::default(),
             recent_requests: SlidingWindow::new(RECENT_WINDOW),
             return_times: ReturnTimes::default(),
+            cut_report: CutReport::default(),
         }
     }
 }
@@ -283,8 +285,17 @@
 
     /// Returns the unresponsive failure domains.
     pub(crate) fn unresponsive_domains(&self) -> Vec<String> {
+        self.domains_that(DomainHealth::is_unresponsive)
+    }
+
+    /// Returns the unresponsive failure domains that a probe did not reach either.
+    pub(crate) fn unreachable_domains(&self) -> Vec<String> {
+        self.domains_that(DomainHealth::is_unreachable)
+    }
+
+    fn domains_that(&self, holds: impl Fn(&DomainHealth) -> bool) -> Vec<String> {
         let domains = self.domains.lock();
-        domains.iter().filter(|(_, d)| d.is_unresponsive()).map(|(name, _)| name.clone()).collect()
+        domains.iter().filter(|(_, d)| holds(d)).map(|(name, _)| name.clone()).collect()
     }
 
     /// Returns whether this instance is leaving.
