--- a/src/coordination/doc_fetch.rs
+++ b/src/coordination/doc_fetch.rs
@@ -44,7 +44,7 @@
 
 /// The newer documents that peers have shown.
 ///
-/// A single task asks for the next step, so that one fetch is in flight at a time.
+/// A single task asks for the next step, so that a fetch begins only once the one before it has ended or is slow.
 #[derive(Debug, Default)]
 pub struct DocOffers {
     /// Offers in the order in which they fall due.
