The rate that a server names is decoded and logged

The notices of a run keep it, and the log says when it begins and ends, with the share that an instance takes it to have. Nothing is decided by it yet.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) mod outlier;
 pub(crate) mod peer_clock;
 pub(crate) mod query;
+pub(crate) mod rate_limit;
 pub(crate) mod reachability;
 pub(crate) mod retry_budget;
 pub(crate) mod return_times;
--- a/src/coordination/server_notices.rs
+++ b/src/coordination/server_notices.rs
@@ -10,6 +10,7 @@
 use indexmap::IndexMap;
 
 use crate::coordination::attempt::NotRunCode;
+use crate::coordination::rate_limit::{LimitReport, LimitedRate};
 use crate::state::time::Tick;
 use crate::state::topology::ServerReport;
 
@@ -17,9 +18,9 @@
 pub const MAX_BACKOFF: Duration = Duration::from_secs(3_600);
 /// Maximum number of runs whose notices are remembered: all servers of a fleet of 4,500, and as many replaced ones.
 const MAX_RUNS: usize = 9_000;
-/// Time for which the notice of a draining run is remembered, well beyond the age of an entry that a restarted instance
-/// or a peer may bring back.
-const DRAINING_MEMORY: Duration = Duration::from_secs(600);
+/// Time for which a run that drains or named a limit is remembered, well beyond the age of an entry that a restarted
+/// instance or a peer may bring back.
+const RUN_MEMORY: Duration = Duration::from_secs(600);
 
 /// Time for which a run that drained before it was listed is sent nothing; servers drain for some seconds.
 const UNLISTED_DRAINING_TIME: Duration = Duration::from_secs(60);
@@ -53,6 +54,7 @@
 pub struct ServerNotices {
     is_draining: bool,
     not_before: Tick,
+    rate: LimitedRate,
 }
 
 impl ServerNotices {
@@ -69,15 +71,30 @@
         before != *self
     }
 
+    /// Records what an answer says about the rate that the server takes, and returns whether that changed the limit.
+    pub fn record_limit(&mut self, report: LimitReport, now: Tick) -> bool {
+        self.rate.record(report, now)
+    }
+
+    /// Returns the rate that the server takes, and this instance's use of it.
+    pub fn rate(&self) -> &LimitedRate {
+        &self.rate
+    }
+
     /// Permits one request now.
     ///
     /// # Errors
     /// [`NotRunCode::Leaving`] or [`NotRunCode::BackingOff`], by what the server asked for.
     pub fn permit(&self, now: Tick) -> Result<SendPermit, NotRunCode> {
+        self.refusal(now).map_or(Ok(SendPermit(())), Err)
+    }
+
+    /// Returns why the server is sent nothing now, by what it asked for; `None` if it may be sent a request.
+    pub fn refusal(&self, now: Tick) -> Option<NotRunCode> {
         match self.availability(now) {
-            Availability::Now => Ok(SendPermit(())),
-            Availability::From(_) => Err(NotRunCode::BackingOff),
-            Availability::Never => Err(NotRunCode::Leaving),
+            Availability::Now => None,
+            Availability::From(_) => Some(NotRunCode::BackingOff),
+            Availability::Never => Some(NotRunCode::Leaving),
         }
     }
 
@@ -99,7 +116,11 @@
     #[must_use]
     pub fn once_listed(self, now: Tick) -> Self {
         let drained_at = if self.is_draining { now + UNLISTED_DRAINING_TIME } else { now };
-        Self { is_draining: false, not_before: self.not_before.max(drained_at) }
+        Self {
+            is_draining: false,
+            not_before: self.not_before.max(drained_at),
+            rate: LimitedRate::default(),
+        }
     }
 
     /// Returns whether the server is draining.
@@ -205,9 +226,9 @@
     /// Drops what no longer counts, and the oldest half of what is left if there is still no space.
     pub fn forget(&mut self, now: Tick) {
         self.runs.retain(|_, (notices, at)| match notices.availability(now) {
-            Availability::Now => false,
+            Availability::Now => notices.rate.limit().is_some() && now.since(*at) < RUN_MEMORY,
             Availability::From(_) => true,
-            Availability::Never => now.since(*at) < DRAINING_MEMORY,
+            Availability::Never => now.since(*at) < RUN_MEMORY,
         });
         if self.runs.len() >= MAX_RUNS {
             self.runs.drain(..MAX_RUNS / 2);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
 pub use coordination::outlier::{OutlierDetector, Probe};
 pub use coordination::peer_clock::{MAX_CLOCK_ERROR, PeerClock};
 pub use coordination::query::{Answer, MissingReason};
+pub use coordination::rate_limit::{LimitReport, LimitedRate, RateLimit, Reservation};
 pub use coordination::reachability::{CutReport, available_from, is_unreachable};
 pub use coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
 pub use coordination::return_times::{ReturnTimes, ServiceShare};
@@ -73,6 +74,7 @@
     HEAD_KEY, InstanceState, ListedInstance, Object, Platform, PlatformError, WriteResult,
     claim_key, encode_head, head_size, parse_head, ticket_key,
 };
+pub use protocol::rate_limit::{InvalidRateLimit, parse_rate_limit};
 pub use protocol::retry_after::{InvalidRetryAfter, parse_retry_after, retry_after_value};
 pub use protocol::upstream::{UpstreamCodec, parse_label, parse_load};
 pub use state::arena::{Arena, Key, PoolKey, RouteKey, ServerKey, ServiceKey, UpstreamKey};
--- a/src/protocol/codec.rs
+++ b/src/protocol/codec.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::header::HeaderValue;
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, StatusCode, Uri, http::response};
 
 use crate::coordination::attempt::UpstreamRefusal;
+use crate::coordination::rate_limit::RateLimit;
+use crate::protocol::rate_limit::{InvalidRateLimit, parse_rate_limit};
 use crate::protocol::retry_after::{InvalidRetryAfter, parse_retry_after};
 use crate::state::snapshot_range::SnapshotRange;
 
@@ -60,6 +62,10 @@
     pub backoff: Option<Duration>,
     /// What is wrong with the time that its refusal states, if it cannot be used.
     pub invalid_backoff: Option<InvalidRetryAfter>,
+    /// The rate that the server takes from all instances together, if it names one.
+    pub rate_limit: Option<RateLimit>,
+    /// What is wrong with the rate that it names, if it cannot be used; what was known of it then holds.
+    pub invalid_rate_limit: Option<InvalidRateLimit>,
 }
 
 impl ResponseHead {
@@ -73,6 +79,14 @@
             Err(e) => Self { invalid_backoff: Some(e), ..self },
         }
     }
+
+    /// Adds the rate that a reply names in `header`.
+    pub fn with_rate_limit(self, head: &response::Parts, header: &HeaderName) -> Self {
+        match parse_rate_limit(&head.headers, header) {
+            Ok(rate_limit) => Self { rate_limit, ..self },
+            Err(e) => Self { invalid_rate_limit: Some(e), ..self },
+        }
+    }
 }
 
 /// Encodes requests to servers and decodes their responses.
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -8,5 +8,6 @@
 pub(crate) mod gather;
 pub(crate) mod peer;
 pub(crate) mod platform;
+pub(crate) mod rate_limit;
 pub(crate) mod retry_after;
 pub(crate) mod upstream;
--- a/src/protocol/upstream.rs
+++ b/src/protocol/upstream.rs
@@ -33,6 +33,8 @@
 pub const LOAD: HeaderName = HeaderName::from_static("x-load");
 /// Set when the upstream is draining.
 pub const DRAINING: HeaderName = HeaderName::from_static("x-draining");
+/// Requests per second that the upstream takes from all instances together, for as long as its responses state it.
+pub const LIMIT: HeaderName = HeaderName::from_static("x-limit");
 /// Reason why the upstream did not run the request.
 pub const REFUSED: HeaderName = HeaderName::from_static("x-refused");
 
@@ -79,6 +81,7 @@
             ..Default::default()
         }
         .with_backoff(head)
+        .with_rate_limit(head, &LIMIT)
     }
 }
 
--- a/src/state/routes.rs
+++ b/src/state/routes.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::state::arena::{PoolKey, RouteKey};
 
@@ -98,6 +98,19 @@
 }
 
 impl RouteTable {
+    /// Returns the pools that are shards of routes and that no other route sends to.
+    pub(crate) fn only_gathered_pools(&self) -> IndexSet<PoolKey> {
+        let (mut gathered, mut others) = (IndexSet::new(), IndexSet::new());
+        for route in &self.routes {
+            match &route.target {
+                Target::Gather(gathering) => gathered.extend(gathering.shards.iter().copied()),
+                Target::Split(parts) => others.extend(parts.iter().map(|(pool, _)| *pool)),
+            }
+        }
+        gathered.retain(|pool| !others.contains(pool));
+        gathered
+    }
+
     /// Returns the route with the longest prefix of `path` among those of `host`.
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
--- a/src/state/topology.rs
+++ b/src/state/topology.rs
@@ -49,6 +49,8 @@
     pools: IndexMap<PoolKey, Vec<ServerKey>>,
     ids: IndexMap<String, ServerKey>,
     evacuated: IndexSet<String>,
+    /// Pools that are shards of routes and that no other route sends to.
+    only_gathered: IndexSet<PoolKey>,
 }
 
 impl TopologyView {
@@ -80,6 +82,11 @@
         server.report.pools.first().map(|p| self.pool_limits(*p)).unwrap_or_default()
     }
 
+    /// Returns whether a server gets requests of sharded routes only.
+    pub fn is_only_gathered(&self, server: &Server) -> bool {
+        server.report.pools.iter().all(|pool| self.only_gathered.contains(pool))
+    }
+
     /// Returns the key of a server by its identity.
     pub fn key_by_id(&self, id: &str) -> Option<ServerKey> {
         self.ids.get(id).copied()
@@ -118,6 +125,7 @@
         if self.view.route_table.as_ref().is_some_and(|t| t.version >= table.version) {
             return false;
         }
+        self.view.only_gathered = table.only_gathered_pools();
         self.view.route_table = Some(Arc::new(table));
         true
     }
--- a/src/transport/callers/query.rs
+++ b/src/transport/callers/query.rs
@@ -248,12 +248,13 @@
     let view = node.tier.view();
     let Some(server) = view.server(key) else { return };
     let listener = node.tier.servers.with(key, |s| s.stats.listener()).unwrap_or_default();
+    let sent_at = node.now();
     let Ok(reply) = http::get(server.report.addr, STATUS_URI, STATUS_TIMEOUT).await else { return };
     let mut res = hyper::Response::new(());
     *res.status_mut() = StatusCode::from_u16(reply.status).unwrap_or_default();
     *res.headers_mut() = reply.headers;
     let head = node.tier.codec.parse_response_head(&res.into_parts().0);
-    node.tier.record_run(key, ServerRun { server, listener }, &head, node.now());
+    node.tier.record_run(key, ServerRun { server, listener, sent_at }, &head, node.now());
 }
 
 /// Sends a non-idempotent request to one upstream, and to another only if the first did not run it.
--- a/src/transport/upstreams/outcome.rs
+++ b/src/transport/upstreams/outcome.rs
@@ -1,5 +1,6 @@
 //! Determines the outcome of a send and updates the statistics of its server and failure domain.
 
+use std::fmt::Display;
 use std::time::Duration;
 
 use hyper::StatusCode;
@@ -8,10 +9,12 @@
     Attempt, Fault, NotRunCode, Outcome, RawAnswer, Replied, UpstreamRefusal,
 };
 use crate::coordination::domain_health::DomainHealth;
+use crate::coordination::rate_limit::RateLimit;
 use crate::coordination::scatter::SendResult;
 use crate::coordination::server_notices::{Availability, ServerNotices};
 use crate::protocol::codec::ResponseHead;
 use crate::state::time::Tick;
+use crate::state::topology::Server;
 use crate::transport::http::Reply;
 use crate::transport::upstreams::send::{Answer, SendOutcome, Sender};
 use crate::transport::upstreams::tier::ServerRun;
@@ -93,16 +96,29 @@
         if let Some((queue, slots)) = head.load {
             self.update_server(|s| s.stats.record_load(queue, slots, now));
         }
-        if let Some(notices) = self.tier.record_run(self.key, run, head, now) {
-            self.log_notices(run, notices, now);
+        if let Some(change) = self.tier.record_run(self.key, run, head, now) {
+            if change.asked {
+                self.log_notices(run, change.notices, now);
+            }
+            if let Some(previous) = change.previous_limit {
+                self.log_limit(run, previous, change.notices.rate().limit());
+            }
         }
         if let Some(e) = &head.invalid_backoff {
-            let is_first =
-                self.update_server(|s| !std::mem::replace(&mut s.logged_invalid_backoff, true));
-            if is_first == Some(true) {
-                let (id, server) = (self.request.id.as_str(), server.report.id.as_str());
-                log::warn!(request = id, server; "server's reply has an invalid header, which is ignored: {e}");
-            }
+            self.log_invalid_header(server, e);
+        }
+        if let Some(e) = &head.invalid_rate_limit {
+            self.log_invalid_header(server, e);
+        }
+    }
+
+    /// Logs the first invalid header of a server.
+    fn log_invalid_header(&self, server: &Server, e: &impl Display) {
+        let is_first =
+            self.update_server(|s| !std::mem::replace(&mut s.logged_invalid_header, true));
+        if is_first == Some(true) {
+            let (id, server) = (self.request.id.as_str(), server.report.id.as_str());
+            log::warn!(request = id, server; "server's reply has an invalid header, which is ignored: {e}");
         }
     }
 
@@ -124,6 +140,23 @@
         }
     }
 
+    /// Logs the change of the limit that a run of the server names.
+    fn log_limit(&self, run: ServerRun<'_>, previous: Option<RateLimit>, limit: Option<RateLimit>) {
+        let (id, server) = (self.request.id.as_str(), run.server.report.id.as_str());
+        let before_per_s = previous.map(RateLimit::per_s);
+        match limit.map(RateLimit::per_s) {
+            Some(per_s) if before_per_s.is_some() => {
+                log::debug!(request = id, server, per_s, before_per_s; "server changed the rate that it takes");
+            }
+            Some(per_s) => {
+                let (instances, share) =
+                    (self.tier.instances(), self.tier.limit_share(&self.tier.view(), run.server));
+                log::info!(request = id, server, per_s, instances, share; "server named a rate that it takes from all instances");
+            }
+            None => log::info!(request = id, server, before_per_s; "server no longer names a rate"),
+        }
+    }
+
     /// Records that the server refused the request and returns the outcome.
     fn record_refusal(
         &self,
--- a/src/transport/upstreams/send.rs
+++ b/src/transport/upstreams/send.rs
@@ -391,7 +391,7 @@
                 };
                 conn.answered += 1;
                 conn.idle_limit = head.idle_timeout.or(conn.idle_limit);
-                let run = ServerRun { server, listener: conn.listener };
+                let run = ServerRun { server, listener: conn.listener, sent_at };
                 let outcome = self.evaluate_reply(attempt, run, (head, reply), now.since(sent_at));
                 if matches!(outcome.result, SendResult::NotRun(_)) {
                     self.request.dispatches.record_not_run();
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -13,6 +13,7 @@
 use crate::coordination::latency_histogram::LatencyHistogram;
 use crate::coordination::lifecycle::StopOptions;
 use crate::coordination::limiter::Limiter;
+use crate::coordination::rate_limit::{LimitReport, RateLimit};
 use crate::coordination::reachability::{self, CutReport};
 use crate::coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
 use crate::coordination::return_times::ReturnTimes;
@@ -112,6 +113,19 @@
     pub(crate) server: &'a Server,
     /// The listener that accepted the connection.
     pub(crate) listener: ListenerNumber,
+    /// When the request was sent.
+    pub(crate) sent_at: Tick,
+}
+
+/// What changed with the head of a reply.
+#[derive(Clone, Copy)]
+pub(crate) struct RunChange {
+    /// What the run asks for now.
+    pub(crate) notices: ServerNotices,
+    /// Whether it asks for no requests, or for none for some time, since this reply.
+    pub(crate) asked: bool,
+    /// The limit before, if it has changed.
+    pub(crate) previous_limit: Option<Option<RateLimit>>,
 }
 
 /// The statistics and connections of a server.
@@ -119,8 +133,8 @@
 pub(crate) struct ServerState {
     pub(crate) stats: ServerStats,
     pub(crate) connections: ConnectionPool,
-    /// Whether an invalid time in its refusals was logged.
-    pub(crate) logged_invalid_backoff: bool,
+    /// Whether an invalid header of its replies was logged.
+    pub(crate) logged_invalid_header: bool,
 }
 
 impl ServerState {
@@ -430,6 +444,12 @@
         (is_asking && run.is_later_than(&former)).then_some(heard)
     }
 
+    /// Returns this instance's share of what a server takes from all instances together, above 0 and up to 1.
+    pub(crate) fn limit_share(&self, view: &TopologyView, server: &Server) -> f64 {
+        let role = if view.is_only_gathered(server) { self.role() } else { Role::Alone };
+        role.share(self.instances())
+    }
+
     /// Records what the head of a server's reply reports about its run; returns what it asks for, if that is new.
     ///
     /// The run may have been removed since the request was sent, or listed again under another key.
@@ -439,8 +459,8 @@
         run: ServerRun<'_>,
         head: &ResponseHead,
         now: Tick,
-    ) -> Option<ServerNotices> {
-        let ServerRun { server, listener } = run;
+    ) -> Option<RunChange> {
+        let ServerRun { server, listener, sent_at } = run;
         let view = self.view();
         let cold_duration = view.server_limits(server).cold_duration;
         let notice = Notice { draining: head.draining, backoff: head.backoff };
@@ -448,34 +468,50 @@
         // listeners are counted from the listing of a run
         let listener = if listed == Some(key) { listener } else { ListenerNumber::default() };
         let report = RunReport { boot_id: head.boot_id, held: head.held, notice, listener };
+        // the limit of a run that is not listed is not that of the listed one
+        let has_limit = head.invalid_rate_limit.is_none() && !listener.is_unlisted();
+        let limit = has_limit.then(|| LimitReport {
+            named: head.rate_limit,
+            sent_at,
+            share: self.limit_share(&view, server),
+            phase: rand::random(),
+        });
         let update = |s: &mut ServerState| {
-            let changed = s.stats.record_run(report, cold_duration, now);
-            if changed && s.stats.notices.is_draining() {
+            let asked = s.stats.record_run(report, cold_duration, now);
+            let change = record_change(&mut s.stats.notices, asked, limit, now);
+            if asked && s.stats.notices.is_draining() {
                 s.connections.close_idle();
             }
-            if changed {
+            if change.is_some() {
                 s.connections.wake_waiter();
             }
-            changed.then_some(s.stats.notices)
+            change
         };
         let run_id = RunId::of(&server.report);
-        let changed = match listed {
+        let change = match listed {
             Some(key) => self.servers.with_or_insert(key, ServerState::default, update),
             None => {
                 let known = run_id.as_ref().and_then(|run| self.notices.lock().get(run));
                 let mut notices = known.unwrap_or_default();
-                notices.record(notice, now).then_some(notices)
+                let asked = notices.record(notice, now);
+                record_change(&mut notices, asked, limit, now)
             }
-        };
-        let notices = changed?;
+        }?;
         self.has_notices.store(true, Ordering::Relaxed);
-        if let Err(why) = notices.permit(now) {
+        if change.asked
+            && let Some(why) = change.notices.refusal(now)
+        {
             self.metrics.notices.with_label_values(&[why.as_str()]).inc();
         }
+        if change.previous_limit.is_some() {
+            let is_named = change.notices.rate().limit().is_some();
+            let label = if is_named { "limit" } else { "limit-ended" };
+            self.metrics.notices.with_label_values(&[label]).inc();
+        }
         if let Some(run) = run_id {
-            self.notices.lock().record(run, notices, now);
+            self.notices.lock().record(run, change.notices, now);
         }
-        Some(notices)
+        Some(change)
     }
 
     /// Returns when a request to one server of each of `pools` can be answered at the earliest.
@@ -525,6 +561,19 @@
     }
 }
 
+/// Records what a reply says of the limit; returns what changed with the reply, if anything did.
+fn record_change(
+    notices: &mut ServerNotices,
+    asked: bool,
+    limit: Option<LimitReport>,
+    now: Tick,
+) -> Option<RunChange> {
+    let before = notices.rate().limit();
+    let limit_changed = limit.is_some_and(|report| notices.record_limit(report, now));
+    let previous_limit = limit_changed.then_some(before);
+    (asked || limit_changed).then_some(RunChange { notices: *notices, asked, previous_limit })
+}
+
 /// Returns the key under which a server's run is listed now; `key` is the one that it had.
 fn listed_key(view: &TopologyView, key: ServerKey, server: &Server) -> Option<ServerKey> {
     if view.server(key).is_some() {
