A server gets no more than the rate that it names, from all instances together

With limits of one request a second, 12 to 20 of 11 allowed in 4 s.

Cause: the limit was decoded and used by nobody. Class: what a server asks for is a limit of all senders, and only limits that the configuration states were divided among them.

Change: the notices of a run hold the limit, and the permit without which nothing is dispatched needs a reservation within it, so that first sends, retries, hedges and the status calls of the own interface all count. An instance sends at the points of a grid over the time of day, by its share (its role for servers of shards alone, else an even one) and its place among the members; unused points end, so that what all may save up is one second's worth and one request whatever their number. A part of the grid that lies in the future is an availability: a shard without room is left out at once if the ratio allows, else the request is refused before anything is sent, with a place in the queue of those that return, as fast as the limits allow. A limit ends or rises by an answer to a request that was sent after it was last heard; a run that is listed again keeps it.

--- a/src/coordination/attempt.rs
+++ b/src/coordination/attempt.rs
@@ -30,6 +30,8 @@
     Shed,
     /// The upstream asked for a time without requests, which has not passed.
     BackingOff,
+    /// This instance's part of the rate that the upstream names is used up.
+    RateLimited,
     /// The upstream's address now belongs to another upstream.
     Replaced,
     /// The upstream does not hold the snapshot.
@@ -259,6 +261,7 @@
             NotRunCode::Leaving => "leaving",
             NotRunCode::Shed => "shed",
             NotRunCode::BackingOff => "backing-off",
+            NotRunCode::RateLimited => "rate-limited",
             NotRunCode::Replaced => "replaced",
             NotRunCode::NotHeld => "not-held",
             NotRunCode::NoReplica => "no-replica",
--- a/src/coordination/gatherers.rs
+++ b/src/coordination/gatherers.rs
@@ -7,10 +7,10 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::shares::Role;
+use crate::coordination::shares::{Places, Role};
 use crate::state::arena::PoolKey;
 use crate::state::hash;
 use crate::state::members::Member;
@@ -201,6 +201,30 @@
     Role::Gatherer(domains.iter().map(|domain| domain_gatherers(members, domain).len()).sum())
 }
 
+/// Returns the places of `me` among those that share limits with it, in the order of names.
+pub fn places(me: &Member, members: &[Member]) -> Places {
+    let place = |others: &mut dyn Iterator<Item = &Member>| {
+        let (mut before, mut count) = (0, 1);
+        for other in others.filter(|m| m.id.name() != me.id.name()) {
+            before += usize::from(other.id.name() < me.id.name());
+            count += 1;
+        }
+        before as f64 / count as f64
+    };
+    let among_all = place(&mut members.iter());
+    let mut domains: Vec<&str> = members.iter().map(|m| m.domain.as_str()).collect();
+    domains.sort_unstable();
+    domains.dedup();
+    let gatherers: IndexSet<&str> = domains
+        .iter()
+        .flat_map(|domain| domain_gatherers(members, domain))
+        .map(|m| m.id.name())
+        .collect();
+    let is_gatherer = gatherers.contains(me.id.name());
+    let has_role = |m: &&Member| gatherers.contains(m.id.name()) == is_gatherer;
+    Places { among_all, in_role: place(&mut members.iter().filter(has_role)) }
+}
+
 /// Returns the gatherers of a failure domain, chosen from its large members by rendezvous hashing.
 pub(crate) fn domain_gatherers<'a>(members: &'a [Member], domain: &str) -> Vec<&'a Member> {
     let local = members.iter().filter(|m| m.domain == domain);
--- a/src/coordination/rate_limit.rs
+++ b/src/coordination/rate_limit.rs
@@ -3,8 +3,9 @@
 //! The load pattern: a server takes half of what it got until now and says so in its answers, while callers press on as
 //! before. Tens or hundreds of instances send to it; each hears of the rate by an answer of its own, and a part of the rate
 //! may be less than one request in the seconds over which the server counts. An instance therefore sends at the points of a
-//! grid, whose interval is that of its part and whose phase is drawn, and a point that was not used ends soon: the
-//! points of all instances are spread evenly, and what they may save up together is the same for any number of them.
+//! grid over the time of day, whose interval is that of its part. Instances that know of the same members have places that
+//! are spread evenly over the interval; clocks and views that differ move single instances. A point that was not used ends
+//! soon, so that what all may save up together is the same for any number of them.
 
 use std::time::Duration;
 
@@ -15,8 +16,8 @@
 /// Rate that is used of a lower one, in requests per second of all instances together: the end of a rate is heard only in
 /// an answer, and the users' rule allows five requests in four seconds beside the rate.
 const MIN_RATE: f64 = 0.25;
-/// Part of the rate that is used, since the phases of instances coincide now and then.
-const UTILISATION: f64 = 0.8;
+/// Part of the rate that is used, since the points of instances whose clocks or views differ may coincide.
+const UTILISATION: f64 = 0.9;
 /// What all instances together may save up: this time at the named rate, and [`SAVED_REQUESTS`].
 const SAVED_TIME: Duration = Duration::from_secs(1);
 /// Requests that all instances together may save up beside those of [`SAVED_TIME`].
@@ -62,29 +63,37 @@
     }
 }
 
+/// This instance's place among those that share the limits of servers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitPart {
+    /// Its share of a limit, above 0 and up to 1.
+    pub share: f64,
+    /// Its place among the instances with the same share, from 0 to 1, spread evenly.
+    pub place: f64,
+    /// The time of day, as the time since the Unix epoch.
+    pub time_of_day: Duration,
+}
+
 /// What one answer says about the rate of its server.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitReport {
-    /// The rate that it names, if it names one.
-    pub named: Option<RateLimit>,
+    /// The rate that it names, if it names one, and this instance's part of it.
+    pub named: Option<(RateLimit, LimitPart)>,
     /// When the request was sent.
     pub sent_at: Tick,
-    /// This instance's share of the limit, above 0 and up to 1.
-    pub share: f64,
-    /// Phase of the grid, drawn evenly from 0 to 1 for each report.
-    pub phase: f64,
 }
 
 /// The limit that a server names, with the next point of the grid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Named {
     limit: RateLimit,
+    interval: Duration,
     heard_at: Tick,
     next: Tick,
 }
 
-/// A request that may be sent to a server within its limit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// A request that may be sent to a server within its limit; the default one ends as soon as the server names a limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[must_use]
 pub struct Reservation {
     /// Time by which it must be dispatched; `None` if the server named no limit when it was made.
@@ -103,20 +112,17 @@
     /// Answers may be read in another order than they were given: one to a request that was sent before the limit was last
     /// heard may lower it, but neither raises nor ends it.
     pub fn record(&mut self, report: LimitReport, now: Tick) -> bool {
-        let LimitReport { named, sent_at, share, phase } = report;
+        let LimitReport { named, sent_at } = report;
         let before = self.limit();
         self.0 = match (self.0, named) {
-            (None, None) => None,
-            (None, Some(limit)) => {
-                let next = now + limit.interval(share).mul_f64(phase.clamp(0.0, 1.0));
-                Some(Named { limit, heard_at: now, next })
+            (None, named) => named.map(|(limit, part)| Named::new(limit, part, now)),
+            (Some(known), Some((limit, part)))
+                if sent_at >= known.heard_at || limit < known.limit =>
+            {
+                Some(known.changed_to(limit, part, now))
             }
-            (Some(known), named) if sent_at < known.heard_at => {
-                let is_lower = |limit: &RateLimit| *limit < known.limit;
-                Some(named.filter(is_lower).map_or(known, |limit| known.changed_to(limit, now)))
-            }
-            (Some(known), Some(limit)) => Some(known.changed_to(limit, now)),
-            (Some(_), None) => None,
+            (Some(known), None) if sent_at >= known.heard_at => None,
+            (Some(known), _) => Some(known),
         };
         self.limit() != before
     }
@@ -126,24 +132,25 @@
         self.0.map(|named| named.limit)
     }
 
-    /// Returns the time from which an instance with this share of the limit may send the next request; `now` or earlier if
-    /// it may do so at once.
-    pub fn next_at(&self, share: f64, now: Tick) -> Tick {
-        self.0.map_or(now, |named| named.next_at(share, now))
+    /// Returns this instance's part of the limit, in requests per second.
+    pub fn rate_per_s(&self) -> Option<f64> {
+        self.0.map(|named| named.interval.as_secs_f64().recip())
     }
 
-    /// Reserves one request, if an instance with this share may send it now.
-    pub fn reserve(&mut self, share: f64, now: Tick) -> Option<Reservation> {
-        let Some(named) = &mut self.0 else {
-            return Some(Reservation { usable_until: None, interval: Duration::ZERO });
-        };
-        let at = named.next_at(share, now);
+    /// Returns the time from which the next request may be sent; `now` or earlier if it may be sent at once.
+    pub fn next_at(&self, now: Tick) -> Tick {
+        self.0.map_or(now, |named| named.next_at(now))
+    }
+
+    /// Reserves one request, if one may be sent now.
+    pub fn reserve(&mut self, now: Tick) -> Option<Reservation> {
+        let Some(named) = &mut self.0 else { return Some(Reservation::default()) };
+        let at = named.next_at(now);
         if at > now {
             return None;
         }
-        let interval = named.limit.interval(share);
-        named.next = at + interval;
-        Some(Reservation { usable_until: Some(now + RESERVATION_TIME), interval })
+        named.next = at + named.interval;
+        Some(Reservation { usable_until: Some(now + RESERVATION_TIME), interval: named.interval })
     }
 
     /// Gives back a reservation whose request was not sent.
@@ -161,21 +168,44 @@
 }
 
 impl Named {
-    /// Changes the limit; the time to the next point becomes longer or shorter with the interval.
-    fn changed_to(self, limit: RateLimit, now: Tick) -> Self {
-        let left = self.next.since(now).mul_f64(self.limit.used() / limit.used());
-        let next = if self.next > now { now + left.min(MAX_INTERVAL) } else { self.next };
-        Self { limit, heard_at: now, next }
+    fn new(limit: RateLimit, part: LimitPart, now: Tick) -> Self {
+        let interval = limit.interval(part.share);
+        let next = now + time_to_point(interval, part);
+        Self { limit, interval, heard_at: now, next }
+    }
+
+    /// Changes the limit or the share.
+    ///
+    /// The wait for the next point changes as the interval does, to the nearest point of the new grid: a limit that changes
+    /// with each answer would otherwise give a new chance of an early point each time.
+    fn changed_to(self, limit: RateLimit, part: LimitPart, now: Tick) -> Self {
+        let interval = limit.interval(part.share);
+        if interval == self.interval {
+            return Self { limit, heard_at: now, ..self };
+        }
+        let ratio = interval.as_secs_f64() / self.interval.as_secs_f64();
+        let wait = self.next.since(now).mul_f64(ratio).min(MAX_INTERVAL);
+        let time_of_day = part.time_of_day + wait;
+        let to_point = time_to_point(interval, LimitPart { time_of_day, ..part });
+        let next = now + wait + to_point;
+        let next = if to_point > interval / 2 { next - interval } else { next };
+        Self { limit, interval, heard_at: now, next }
     }
 
     /// Returns the first point of the grid that may still be used.
-    fn next_at(&self, share: f64, now: Tick) -> Tick {
+    fn next_at(&self, now: Tick) -> Tick {
         let first_valid = now - self.limit.validity();
         if self.next >= first_valid {
             return self.next;
         }
-        let interval = self.limit.interval(share).max(Duration::from_micros(1)).as_micros() as u64;
+        let interval = self.interval.as_micros().max(1) as u64;
         let missed = first_valid.since(self.next).as_micros() as u64;
         self.next + Duration::from_micros(missed.div_ceil(interval) * interval)
     }
 }
+
+/// Returns the time until the next point of the grid.
+fn time_to_point(interval: Duration, part: LimitPart) -> Duration {
+    let turns = part.time_of_day.as_secs_f64() / interval.as_secs_f64().max(1e-6);
+    interval.mul_f64((part.place - turns).rem_euclid(1.0))
+}
--- a/src/coordination/reachability.rs
+++ b/src/coordination/reachability.rs
@@ -79,3 +79,23 @@
     let required = required_shards(min_shard_ratio, times.len());
     times.get(required - 1).copied().unwrap_or(Availability::Never)
 }
+
+/// Returns how many requests a second this instance may send to one server of each of `pools`, by the rates that the servers
+/// name; `None` if enough pools have a server that names none.
+///
+/// `rate` is this instance's part of the rate that a server names.
+pub fn limited_rate(
+    pools: &[PoolKey],
+    min_shard_ratio: f64,
+    view: &TopologyView,
+    rate: impl Fn(ServerKey) -> Option<f64>,
+) -> Option<f64> {
+    let of_pool = |pool: &PoolKey| {
+        let servers = view.available_servers(*pool).map(|(key, _)| rate(key));
+        servers.fold(0.0, |sum, rate| sum + rate.unwrap_or(f64::INFINITY))
+    };
+    let mut rates: Vec<f64> = pools.iter().map(of_pool).collect();
+    rates.sort_unstable_by(|a, b| b.total_cmp(a));
+    let required = required_shards(min_shard_ratio, rates.len());
+    rates.get(required - 1).copied().filter(|rate| rate.is_finite())
+}
--- a/src/coordination/scatter.rs
+++ b/src/coordination/scatter.rs
@@ -24,6 +24,8 @@
 pub trait ScatterContext {
     /// Picks a server for a shard that is not in `avoid`.
     fn pick_server(&mut self, pool: PoolKey, avoid: &[ServerKey], now: Tick) -> Option<ServerKey>;
+    /// Gives back what picking a server has reserved, since it is not sent the request.
+    fn cancel_pick(&mut self, _server: ServerKey) {}
     /// Records a request for a service.
     fn record_request(&mut self, pool: PoolKey, now: Tick);
     /// Takes one extra send from the service's retry budget and returns whether it was allowed.
@@ -184,6 +186,7 @@
         let allowed = server
             .filter(|_| shard.attempt_count == 0 || context.try_acquire_extra(shard.pool, now));
         let Some(server) = allowed else {
+            server.into_iter().for_each(|server| context.cancel_pick(server));
             if shard.in_flight == 0 && (is_single || server.is_none()) {
                 if shard.tried.is_empty() && shard.attempt_count == 0 {
                     shard.missing_reason = MissingReason::Refused(NotRunCode::NoReplica);
--- a/src/coordination/server_notices.rs
+++ b/src/coordination/server_notices.rs
@@ -10,7 +10,7 @@
 use indexmap::IndexMap;
 
 use crate::coordination::attempt::NotRunCode;
-use crate::coordination::rate_limit::{LimitReport, LimitedRate};
+use crate::coordination::rate_limit::{LimitReport, LimitedRate, Reservation};
 use crate::state::time::Tick;
 use crate::state::topology::ServerReport;
 
@@ -81,25 +81,55 @@
         &self.rate
     }
 
-    /// Permits one request now.
+    /// Reserves one request within the limit of the server, if it may be sent now.
+    pub fn reserve(&mut self, now: Tick) -> Option<Reservation> {
+        self.rate.reserve(now)
+    }
+
+    /// Replaces a reservation that has ended, or that was made before the server named a limit, if another can be made.
+    pub fn renew(&mut self, reservation: &mut Reservation, now: Tick) {
+        if !self.rate.allows(reservation, now) {
+            self.rate.give_back(*reservation);
+            *reservation = self.rate.reserve(now).unwrap_or_default();
+        }
+    }
+
+    /// Gives back a reservation whose request was not sent.
+    pub fn give_back(&mut self, reservation: Reservation) {
+        self.rate.give_back(reservation);
+    }
+
+    /// Permits the dispatch of a reserved request now.
     ///
     /// # Errors
-    /// [`NotRunCode::Leaving`] or [`NotRunCode::BackingOff`], by what the server asked for.
-    pub fn permit(&self, now: Tick) -> Result<SendPermit, NotRunCode> {
-        self.refusal(now).map_or(Ok(SendPermit(())), Err)
+    /// [`NotRunCode::Leaving`] or [`NotRunCode::BackingOff`], by what the server asked for; [`NotRunCode::RateLimited`] if the
+    /// reservation has ended, or was made before the server named a limit.
+    pub fn permit(&self, reservation: &Reservation, now: Tick) -> Result<SendPermit, NotRunCode> {
+        match self.refusal(now) {
+            Some(why) => Err(why),
+            None if self.rate.allows(reservation, now) => Ok(SendPermit(())),
+            None => Err(NotRunCode::RateLimited),
+        }
     }
 
-    /// Returns why the server is sent nothing now, by what it asked for; `None` if it may be sent a request.
+    /// Returns why the server is sent nothing now, by what it asked for apart from its limit; `None` if it may be sent a request.
     pub fn refusal(&self, now: Tick) -> Option<NotRunCode> {
-        match self.availability(now) {
+        match self.availability_beside_limit(now) {
             Availability::Now => None,
             Availability::From(_) => Some(NotRunCode::BackingOff),
             Availability::Never => Some(NotRunCode::Leaving),
         }
     }
 
-    /// Returns when the server may be sent a request.
+    /// Returns when the server may be sent a request, by all that it asked for.
     pub fn availability(&self, now: Tick) -> Availability {
+        let next_at = self.rate.next_at(now);
+        let by_limit = if next_at > now { Availability::From(next_at) } else { Availability::Now };
+        self.availability_beside_limit(now).max(by_limit)
+    }
+
+    /// Returns when the server may be sent a request, by what it asked for apart from its limit.
+    pub fn availability_beside_limit(&self, now: Tick) -> Availability {
         if self.is_draining {
             Availability::Never
         } else if now < self.not_before {
@@ -225,7 +255,7 @@
 
     /// Drops what no longer counts, and the oldest half of what is left if there is still no space.
     pub fn forget(&mut self, now: Tick) {
-        self.runs.retain(|_, (notices, at)| match notices.availability(now) {
+        self.runs.retain(|_, (notices, at)| match notices.availability_beside_limit(now) {
             Availability::Now => notices.rate.limit().is_some() && now.since(*at) < RUN_MEMORY,
             Availability::From(_) => true,
             Availability::Never => now.since(*at) < RUN_MEMORY,
--- a/src/coordination/shares.rs
+++ b/src/coordination/shares.rs
@@ -39,6 +39,15 @@
     }
 }
 
+/// The places of an instance among those that share limits, each from 0 to 1 and spread evenly.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Places {
+    /// Its place among all instances.
+    pub among_all: f64,
+    /// Its place among those with the same role for sharded requests.
+    pub in_role: f64,
+}
+
 /// Returns the number of connections that this instance may have to a server, at least one.
 ///
 /// If there are few per instance, half of them are reserved for gatherers, since the other instances
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,7 +21,7 @@
 pub use coordination::doc_fetch::{DocOffers, FetchStep, SLOW_FETCH, fetch_delay};
 pub use coordination::domain_health::DomainHealth;
 pub use coordination::gatherers::{
-    GatherContext, GatherRefusal, Spread, can_take, is_heavy, role, select_gatherers,
+    GatherContext, GatherRefusal, Spread, can_take, is_heavy, places, role, select_gatherers,
     shards_by_domain,
 };
 pub use coordination::lag::{Lag, SAMPLE_INTERVAL as LAG_SAMPLE_INTERVAL};
@@ -36,10 +36,10 @@
 pub use coordination::outlier::{OutlierDetector, Probe};
 pub use coordination::peer_clock::{MAX_CLOCK_ERROR, PeerClock};
 pub use coordination::query::{Answer, MissingReason};
-pub use coordination::rate_limit::{LimitReport, LimitedRate, RateLimit, Reservation};
-pub use coordination::reachability::{CutReport, available_from, is_unreachable};
+pub use coordination::rate_limit::{LimitPart, LimitReport, LimitedRate, RateLimit, Reservation};
+pub use coordination::reachability::{CutReport, available_from, is_unreachable, limited_rate};
 pub use coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
-pub use coordination::return_times::{ReturnTimes, ServiceShare};
+pub use coordination::return_times::{ReturnTimes, ServiceShare, return_from};
 pub use coordination::round_robin::WeightedRoundRobin;
 pub use coordination::scatter::{
     Decision, Scatter, ScatterContext, ScatterOptions, SendResult, ShardSend,
@@ -49,7 +49,7 @@
     ServerNotices,
 };
 pub use coordination::server_stats::{Candidate, RunReport, Sent, ServerStats, pick_server};
-pub use coordination::shares::{ColdLimiter, Role, connection_share};
+pub use coordination::shares::{ColdLimiter, Places, Role, connection_share};
 pub use coordination::sliding_window::SlidingWindow;
 pub use coordination::snapshot::choose_snapshot;
 pub use coordination::tickets::{
--- a/src/state/hash.rs
+++ b/src/state/hash.rs
@@ -18,6 +18,11 @@
     xxh3_64_with_seed(value, xxh3_64(name.as_bytes()))
 }
 
+/// Returns a digest of a name as a number from 0 to 1.
+pub fn unit_digest(name: &str) -> f64 {
+    xxh3_64(name.as_bytes()) as f64 / u64::MAX as f64
+}
+
 /// Returns the digest of a request body, which detects reuse of an idempotency key with another body.
 pub fn body_digest(body: &[u8]) -> u64 {
     xxh3_64(body)
--- a/src/transport/callers/query.rs
+++ b/src/transport/callers/query.rs
@@ -247,6 +247,10 @@
 async fn refresh_status(node: Arc<Node>, key: ServerKey) {
     let view = node.tier.view();
     let Some(server) = view.server(key) else { return };
+    let reserve = |s: &mut ServerState| s.stats.notices.reserve(node.now());
+    if node.tier.servers.with_or_insert(key, ServerState::default, reserve).is_none() {
+        return;
+    }
     let listener = node.tier.servers.with(key, |s| s.stats.listener()).unwrap_or_default();
     let sent_at = node.now();
     let Ok(reply) = http::get(server.report.addr, STATUS_URI, STATUS_TIMEOUT).await else { return };
--- a/src/transport/clock.rs
+++ b/src/transport/clock.rs
@@ -1,6 +1,6 @@
 //! The monotonic clock of the process.
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use crate::state::time::Tick;
 
@@ -22,6 +22,11 @@
         Tick(self.start.elapsed().as_micros() as u64)
     }
 
+    /// Returns the time of day, as the time since the Unix epoch; it may jump, and differs between machines.
+    pub fn time_of_day(&self) -> Duration {
+        SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default()
+    }
+
     /// Sleeps until `at`.
     pub async fn sleep_until(&self, at: Tick) {
         tokio::time::sleep_until((self.start + Duration::from_micros(at.0)).into()).await;
--- a/src/transport/peers/mod.rs
+++ b/src/transport/peers/mod.rs
@@ -17,8 +17,8 @@
 use tokio::sync::Notify;
 
 use crate::coordination::doc_fetch::{DocOffers, FetchStep};
-use crate::coordination::gatherers::role;
-use crate::coordination::shares::Role;
+use crate::coordination::gatherers::{places, role};
+use crate::coordination::shares::{Places, Role};
 use crate::protocol::encoded::Encoded;
 use crate::protocol::frames::FrameError;
 use crate::protocol::peer::{DocDeltas, Heartbeat, Hello, PROTOCOL_VERSION};
@@ -133,6 +133,11 @@
         role(&self.opts.me, &self.members())
     }
 
+    /// Returns the places of this instance among those that share limits with it.
+    pub fn places(&self) -> Places {
+        places(&self.opts.me, &self.members())
+    }
+
     /// Returns the names of the other listed members of this failure domain that had no contact for
     /// longer than `timeout`.
     pub fn silent_members(&self, timeout: Duration) -> Vec<String> {
--- a/src/transport/store/watches.rs
+++ b/src/transport/store/watches.rs
@@ -85,6 +85,7 @@
         }
         if let Some(count) = node.peers.instance_count() {
             node.tier.set_instances(count);
+            node.tier.set_places(node.peers.places());
         }
         tokio::time::sleep(LIST_INTERVAL).await;
     }
--- a/src/transport/upstreams/context.rs
+++ b/src/transport/upstreams/context.rs
@@ -13,7 +13,7 @@
 use crate::state::arena::{PoolKey, RouteKey, ServerKey};
 use crate::state::time::Tick;
 use crate::state::topology::{Server, TopologyView};
-use crate::transport::upstreams::send::{Dispatches, DomainProbe};
+use crate::transport::upstreams::send::{Dispatches, DomainProbe, Pick, ReservedSend};
 use crate::transport::upstreams::tier::{RouteStats, ServerState, Tier};
 
 /// Cost of opening a connection in addition to its round trip, in usual answer times: both ends work for it, and the server
@@ -80,8 +80,8 @@
     pub(crate) dispatches: Arc<Dispatches>,
     /// Whether the request is sharded.
     pub(crate) is_sharded: bool,
-    /// Probes of failure domains whose sends have not begun, by the server chosen.
-    pub(crate) domain_probes: Vec<(ServerKey, DomainProbe)>,
+    /// What is reserved for sends that have not begun, by the server chosen.
+    pub(crate) picks: Vec<(ServerKey, Pick)>,
 }
 
 impl<'a> TierContext<'a> {
@@ -89,13 +89,13 @@
     pub(crate) fn unsent(tier: &'a Arc<Tier>, view: &'a TopologyView, route: RouteKey) -> Self {
         let times = AnswerTimes::estimate(tier, route, Duration::ZERO, 0.0);
         let dispatches = Arc::new(Dispatches::new(0));
-        Self { tier, view, times, dispatches, is_sharded: true, domain_probes: Vec::new() }
+        Self { tier, view, times, dispatches, is_sharded: true, picks: Vec::new() }
     }
 
-    /// Takes the probe of a failure domain that a send to this server is, if it is one.
-    pub(crate) fn take_domain_probe(&mut self, key: ServerKey) -> Option<DomainProbe> {
-        let index = self.domain_probes.iter().position(|(server, _)| *server == key)?;
-        Some(self.domain_probes.swap_remove(index).1)
+    /// Takes what is reserved for a send to this server.
+    pub(crate) fn take_pick(&mut self, key: ServerKey) -> Option<Pick> {
+        let index = self.picks.iter().position(|(server, _)| *server == key)?;
+        Some(self.picks.swap_remove(index).1)
     }
 
     /// Returns the servers of a pool that are not in `avoid`.
@@ -152,15 +152,17 @@
         !is_cold(state, server, now) || state.stats.cold.can_send(rate, self.tier.instances(), now)
     }
 
-    /// Counts a request to a server; returns `false` if others used its rate up since it became a candidate.
-    fn try_count(&self, key: ServerKey, server: &Server, now: Tick) -> bool {
-        self.tier.servers.with_or_insert(key, ServerState::default, |state| {
-            let is_admitted = self.is_admitted(state, server, now);
-            if is_admitted {
-                state.stats.cold.record_send(now);
+    /// Counts a request to a server and reserves it; `None` if others used its rate up since it became a candidate.
+    fn try_reserve(&self, key: ServerKey, server: &Server, now: Tick) -> Option<ReservedSend> {
+        let reservation = self.tier.servers.with_or_insert(key, ServerState::default, |state| {
+            if !self.is_admitted(state, server, now) {
+                return None;
             }
-            is_admitted
-        })
+            let reservation = state.stats.notices.reserve(now)?;
+            state.stats.cold.record_send(now);
+            Some(reservation)
+        })?;
+        Some(ReservedSend::new(self.tier, key, reservation))
     }
 
     /// Returns the rate limit of a cold server for all instances, per second; zero means no limit.
@@ -180,15 +182,19 @@
         loop {
             let key = pick_server(&candidates, !avoid.is_empty(), || rand::rng().random())?;
             let server = self.view.server(key)?;
-            if self.try_count(key, server, now) {
+            if let Some(reserved) = self.try_reserve(key, server, now) {
                 let domain_probe = DomainProbe::record_send(self.tier, &server.report.domain);
-                self.domain_probes.extend(domain_probe.map(|probe| (key, probe)));
+                self.picks.push((key, Pick { reserved, domain_probe }));
                 return Some(key);
             }
             candidates.retain(|c| c.key != key);
         }
     }
 
+    fn cancel_pick(&mut self, server: ServerKey) {
+        drop(self.take_pick(server));
+    }
+
     fn record_request(&mut self, pool: PoolKey, now: Tick) {
         let opts = retry_budget_options(self.tier, self.view, pool);
         self.tier.retry_budgets.with_or_insert(
--- a/src/transport/upstreams/outcome.rs
+++ b/src/transport/upstreams/outcome.rs
@@ -128,7 +128,7 @@
         let (server, started_at_ms) =
             (report.id.as_str(), report.started_at_ms.unwrap_or_default());
         let unlisted = run.listener.is_unlisted();
-        match notices.availability(now) {
+        match notices.availability_beside_limit(now) {
             Availability::Now => {}
             Availability::From(at) => {
                 let backoff_ms = at.since(now).as_millis() as u64;
@@ -149,8 +149,8 @@
                 log::debug!(request = id, server, per_s, before_per_s; "server changed the rate that it takes");
             }
             Some(per_s) => {
-                let (instances, share) =
-                    (self.tier.instances(), self.tier.limit_share(&self.tier.view(), run.server));
+                let instances = self.tier.instances();
+                let share = self.tier.limit_part(&self.tier.view(), run.server).share;
                 log::info!(request = id, server, per_s, instances, share; "server named a rate that it takes from all instances");
             }
             None => log::info!(request = id, server, before_per_s; "server no longer names a rate"),
--- a/src/transport/upstreams/run.rs
+++ b/src/transport/upstreams/run.rs
@@ -7,7 +7,7 @@
 
 use crate::coordination::attempt::NotRunCode;
 use crate::coordination::query::MissingReason;
-use crate::coordination::return_times::ServiceShare;
+use crate::coordination::return_times::{ServiceShare, return_from};
 use crate::coordination::scatter::{Decision, Scatter, ScatterOptions, SendResult, ShardSend};
 use crate::coordination::server_notices::Availability;
 use crate::protocol::codec::OutgoingRequest;
@@ -101,7 +101,7 @@
         times,
         dispatches: request.dispatches.clone(),
         is_sharded,
-        domain_probes: Vec::new(),
+        picks: Vec::new(),
     };
     let driver = Driver {
         tier,
@@ -164,7 +164,7 @@
             Availability::From(_) => NotRunCode::BackingOff,
             Availability::Never => NotRunCode::NoReplica,
         };
-        let retry_after = self.return_time(availability, &opts.shards);
+        let retry_after = self.return_time(availability, &opts.shards, opts.min_shard_ratio);
         let (id, route, version) = self.log_context();
         let (reason, after_ms) = (why.as_str(), retry_after.map(|d| d.as_millis() as u64));
         log::info!(
@@ -177,15 +177,24 @@
     }
 
     /// Returns when the caller of a request that was not run may return, if servers asked for time until then.
-    fn return_time(&self, availability: Availability, pools: &[PoolKey]) -> Option<Duration> {
+    fn return_time(
+        &self,
+        availability: Availability,
+        pools: &[PoolKey],
+        min_shard_ratio: f64,
+    ) -> Option<Duration> {
         let Availability::From(free_at) = availability else { return None };
+        let (view, now) = (self.context.view, self.tier.now());
+        let asked = self.tier.available_beside_limits(pools, min_shard_ratio, view, now);
+        let asked_until = if let Availability::From(at) = asked { at } else { now };
+        let free_at = return_from(free_at, asked_until, now);
         let servers = pools.first().map(|pool| self.context.view.available_servers(*pool));
         let share = ServiceShare {
             slots: servers.into_iter().flatten().map(|(_, server)| server.report.slots).sum(),
             usual: self.request.times.usual,
             instances: self.tier.instances(),
+            limited_rate: self.tier.limited_rate(pools, min_shard_ratio, self.context.view),
         };
-        let now = self.tier.now();
         Some(self.tier.route_stats.with_or_insert(self.route, RouteStats::default, |s| {
             s.return_times.next(free_at, share, now)
         }))
@@ -202,10 +211,12 @@
         for ShardSend { shard, server } in sends {
             self.request.dispatches.clear_time(shard);
             let (tier, request) = (self.tier.clone(), self.request.clone());
-            let domain_probe = self.context.take_domain_probe(server);
+            let Some(pick) = self.context.take_pick(server) else {
+                log::error!("nothing is reserved for a send");
+                continue;
+            };
             in_flight.spawn(async move {
-                let _domain_probe = domain_probe;
-                ((shard, server), send(tier, request, shard, server).await)
+                ((shard, server), send(tier, request, shard, (server, pick)).await)
             });
         }
     }
@@ -280,7 +291,8 @@
         let (pools, min_shard_ratio) = scatter.targets();
         let now = self.tier.now();
         let availability = self.tier.available_from(pools, min_shard_ratio, self.context.view, now);
-        let retry_after = if ran { None } else { self.return_time(availability, pools) };
+        let retry_after =
+            if ran { None } else { self.return_time(availability, pools, min_shard_ratio) };
         let late = now >= self.request.hard_deadline;
         let (id, route, version) = self.log_context();
         let why = self.format_missing(scatter, &missing);
--- a/src/transport/upstreams/send.rs
+++ b/src/transport/upstreams/send.rs
@@ -14,6 +14,7 @@
 
 use crate::coordination::attempt::{Attempt, Fault, NotRunCode, Outcome, Pending};
 use crate::coordination::outlier::Probe;
+use crate::coordination::rate_limit::Reservation;
 use crate::coordination::scatter::SendResult;
 use crate::coordination::server_notices::SendPermit;
 use crate::coordination::server_stats::Sent;
@@ -189,6 +190,45 @@
     }
 }
 
+/// What is reserved for a send to a server when it is picked.
+pub(crate) struct Pick {
+    pub(crate) reserved: ReservedSend,
+    /// The probe of a failure domain that the send is, if it is one; it ends when dropped.
+    pub(crate) domain_probe: Option<DomainProbe>,
+}
+
+/// A request that is reserved within the limit of a server; given back when dropped, unless it was dispatched.
+pub(crate) struct ReservedSend {
+    tier: Arc<Tier>,
+    key: ServerKey,
+    reservation: Reservation,
+    is_dispatched: bool,
+}
+
+impl ReservedSend {
+    pub(crate) fn new(tier: &Arc<Tier>, key: ServerKey, reservation: Reservation) -> Self {
+        Self { tier: tier.clone(), key, reservation, is_dispatched: false }
+    }
+
+    /// Permits the dispatch by all that the server asked for; a reservation that has ended is made again if possible.
+    fn permit(&mut self, now: Tick) -> Result<SendPermit, NotRunCode> {
+        let Self { tier, key, reservation, .. } = self;
+        tier.servers.with_or_insert(*key, ServerState::default, |s| {
+            s.stats.notices.renew(reservation, now);
+            s.stats.notices.permit(reservation, now)
+        })
+    }
+}
+
+impl Drop for ReservedSend {
+    fn drop(&mut self) {
+        if !self.is_dispatched {
+            let give_back = |s: &mut ServerState| s.stats.notices.give_back(self.reservation);
+            self.tier.servers.with(self.key, give_back);
+        }
+    }
+}
+
 impl Drop for DomainProbe {
     fn drop(&mut self) {
         if let Some(probe) = self.probe.take() {
@@ -251,11 +291,12 @@
     tier: Arc<Tier>,
     request: Arc<ScatterRequest>,
     shard: usize,
-    key: ServerKey,
+    (key, pick): (ServerKey, Pick),
 ) -> SendOutcome {
     let _guard = InFlightGuard::new(&tier, key, tier.now());
+    let Pick { reserved, domain_probe: _domain_probe } = pick;
     let sender = Sender { tier: &tier, request: &request, shard, key };
-    let mut outcome = sender.run().await;
+    let mut outcome = sender.run(reserved).await;
     outcome.server_id = tier.view().server(key).map_or_else(String::new, |s| s.report.id.clone());
     tier.metrics.sends.with_label_values(&[outcome.reason()]).inc();
     outcome
@@ -270,15 +311,15 @@
 }
 
 impl Sender<'_> {
-    async fn run(&self) -> SendOutcome {
+    async fn run(&self, mut reserved: ReservedSend) -> SendOutcome {
         let mut attempt = Attempt::new(self.request.outgoing.label(self.shard));
         loop {
-            let conn = match self.acquire_connection().await {
+            let conn = match self.acquire_connection(&mut reserved).await {
                 Ok(conn) => conn,
                 Err(why) => return SendOutcome::new(SendResult::Unsent(why)),
             };
             let reused = conn.reused;
-            match self.exchange(conn, attempt).await {
+            match self.exchange(conn, attempt, &mut reserved).await {
                 Ok(outcome) => return outcome,
                 Err(unsent) if reused => attempt = unsent,
                 Err(_) => return SendOutcome::new(SendResult::Unsent(NotRunCode::NotConnected)),
@@ -294,12 +335,15 @@
     /// Checks out a connection, waiting while this instance's share of the limit is in use.
     ///
     /// A request that waited and finds that the server is to be sent nothing wakes the next one, which finds the same.
-    async fn acquire_connection(&self) -> Result<Connection, NotRunCode> {
+    async fn acquire_connection(
+        &self,
+        reserved: &mut ReservedSend,
+    ) -> Result<Connection, NotRunCode> {
         let mut waited: Option<Released> = None;
         loop {
             let (view, now) = (self.tier.view(), self.tier.now());
             let permitted = view.available_server(self.key).ok_or(NotRunCode::Leaving);
-            let permitted = permitted.and_then(|server| self.permit(now).map(|_| server));
+            let permitted = permitted.and_then(|server| reserved.permit(now).map(|_| server));
             let server = permitted.inspect_err(|_| waited.iter().for_each(Released::wake_next))?;
             let limits = view.server_limits(server);
             let limit = self.tier.connection_limit(limits.connections, now);
@@ -329,6 +373,7 @@
         &self,
         mut conn: Connection,
         attempt: Attempt<Pending>,
+        reserved: &mut ReservedSend,
     ) -> Result<SendOutcome, Attempt<Pending>> {
         if conn.sender.ready().await.is_err() {
             return Err(attempt);
@@ -336,7 +381,7 @@
         let sent_at = self.tier.now();
         let time_left = self.request.hard_deadline.since(sent_at);
         let view = self.tier.view();
-        let (server, permit) = match self.permitted_server(&view, time_left, sent_at) {
+        let (server, permit) = match self.permitted_server(&view, reserved, time_left, sent_at) {
             Ok(permitted) => permitted,
             Err(why) => {
                 self.check_in(conn, sent_at);
@@ -345,6 +390,7 @@
         };
         let req = self.build_request(&server.report.id, time_left);
         let dispatched = attempt.dispatch(permit);
+        reserved.is_dispatched = true;
         self.request.dispatches.record(self.shard, sent_at);
         let answer = async {
             let res = conn.sender.try_send_request(req).await;
@@ -370,6 +416,7 @@
             }
             Ok(Err(Unanswered::Unsent)) => {
                 self.request.dispatches.record_not_run();
+                reserved.is_dispatched = false;
                 Err(dispatched.into_pending())
             }
             Ok(Err(Unanswered::Failed(Fault::TooLarge))) => {
@@ -404,17 +451,11 @@
         }
     }
 
-    /// Permits one request to the server, by what it asked for.
-    fn permit(&self, now: Tick) -> Result<SendPermit, NotRunCode> {
-        self.tier
-            .servers
-            .with_or_insert(self.key, ServerState::default, |s| s.stats.notices.permit(now))
-    }
-
     /// Returns the server and the permit to send to it, or why it is sent nothing.
     fn permitted_server<'v>(
         &self,
         view: &'v TopologyView,
+        reserved: &mut ReservedSend,
         time_left: Duration,
         now: Tick,
     ) -> Result<(&'v Server, SendPermit), NotRunCode> {
@@ -422,7 +463,7 @@
         if time_left < MIN_TIME_LEFT {
             return Err(NotRunCode::TooLate);
         }
-        Ok((server, self.permit(now)?))
+        Ok((server, reserved.permit(now)?))
     }
 
     /// Returns a connection to the pool, or closes it if the server is draining.
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -13,7 +13,7 @@
 use crate::coordination::latency_histogram::LatencyHistogram;
 use crate::coordination::lifecycle::StopOptions;
 use crate::coordination::limiter::Limiter;
-use crate::coordination::rate_limit::{LimitReport, RateLimit};
+use crate::coordination::rate_limit::{LimitPart, LimitReport, RateLimit};
 use crate::coordination::reachability::{self, CutReport};
 use crate::coordination::retry_budget::{RetryBudget, RetryBudgetOptions};
 use crate::coordination::return_times::ReturnTimes;
@@ -22,11 +22,12 @@
     Availability, ListenerNumber, Notice, NoticeMemory, RunId, ServerNotices,
 };
 use crate::coordination::server_stats::{RunReport, ServerStats};
-use crate::coordination::shares::{self, Role};
+use crate::coordination::shares::{self, Places, Role};
 use crate::coordination::sliding_window::SlidingWindow;
 use crate::coordination::warming::Warming;
 use crate::protocol::codec::{ResponseHead, ServerCodec};
 use crate::state::arena::{PoolKey, RouteKey, ServerKey};
+use crate::state::hash;
 use crate::state::name_interner::NameInterner;
 use crate::state::routes::RouteTable;
 use crate::state::sharded_map::ShardedMap;
@@ -193,6 +194,7 @@
     requests_in_flight: AtomicUsize,
     gathers_in_flight: AtomicUsize,
     role: Mutex<Role>,
+    places: Mutex<Places>,
     sharded_requests: Mutex<SlidingWindow>,
     pub(crate) lag: Mutex<Lag>,
     warming: Mutex<Warming>,
@@ -225,6 +227,7 @@
             requests_in_flight: AtomicUsize::new(0),
             gathers_in_flight: AtomicUsize::new(0),
             role: Mutex::default(),
+            places: Mutex::new(Places { among_all: rand::random(), in_role: rand::random() }),
             sharded_requests: Mutex::new(SlidingWindow::new(RECENT_WINDOW)),
             lag: Mutex::default(),
             warming: Mutex::default(),
@@ -444,10 +447,25 @@
         (is_asking && run.is_later_than(&former)).then_some(heard)
     }
 
-    /// Returns this instance's share of what a server takes from all instances together, above 0 and up to 1.
-    pub(crate) fn limit_share(&self, view: &TopologyView, server: &Server) -> f64 {
-        let role = if view.is_only_gathered(server) { self.role() } else { Role::Alone };
-        role.share(self.instances())
+    /// Returns this instance's part of what a server takes from all instances together.
+    pub(crate) fn limit_part(&self, view: &TopologyView, server: &Server) -> LimitPart {
+        let (role, places) = (self.role(), *self.places.lock());
+        let (role, place) = if view.is_only_gathered(server) {
+            (role, places.in_role)
+        } else {
+            (Role::Alone, places.among_all)
+        };
+        LimitPart {
+            share: role.share(self.instances()),
+            // points at different servers are not at one moment
+            place: place + hash::unit_digest(&server.report.id),
+            time_of_day: self.clock.time_of_day(),
+        }
+    }
+
+    /// Sets this instance's places among those that share limits.
+    pub fn set_places(&self, places: Places) {
+        *self.places.lock() = places;
     }
 
     /// Records what the head of a server's reply reports about its run; returns what it asks for, if that is new.
@@ -471,10 +489,8 @@
         // the limit of a run that is not listed is not that of the listed one
         let has_limit = head.invalid_rate_limit.is_none() && !listener.is_unlisted();
         let limit = has_limit.then(|| LimitReport {
-            named: head.rate_limit,
+            named: head.rate_limit.map(|limit| (limit, self.limit_part(&view, server))),
             sent_at,
-            share: self.limit_share(&view, server),
-            phase: rand::random(),
         });
         let update = |s: &mut ServerState| {
             let asked = s.stats.record_run(report, cold_duration, now);
@@ -521,15 +537,50 @@
         min_shard_ratio: f64,
         view: &TopologyView,
         now: Tick,
+    ) -> Availability {
+        self.available_by(pools, min_shard_ratio, view, |notices| notices.availability(now))
+    }
+
+    /// Returns the same without the limits of the servers.
+    pub(crate) fn available_beside_limits(
+        &self,
+        pools: &[PoolKey],
+        min_shard_ratio: f64,
+        view: &TopologyView,
+        now: Tick,
+    ) -> Availability {
+        let beside_limit = |notices: &ServerNotices| notices.availability_beside_limit(now);
+        self.available_by(pools, min_shard_ratio, view, beside_limit)
+    }
+
+    fn available_by(
+        &self,
+        pools: &[PoolKey],
+        min_shard_ratio: f64,
+        view: &TopologyView,
+        availability: impl Fn(&ServerNotices) -> Availability,
     ) -> Availability {
         let has_notices = self.has_notices.load(Ordering::Relaxed);
         reachability::available_from(pools, min_shard_ratio, view, |key| {
-            let of_server = |s: &mut ServerState| s.stats.notices.availability(now);
+            let of_server = |s: &mut ServerState| availability(&s.stats.notices);
             let known = has_notices.then(|| self.servers.with(key, of_server)).flatten();
             known.unwrap_or(Availability::Now)
         })
     }
 
+    /// Returns how many requests a second this instance may send to one server of each of `pools`, by the rates that the
+    /// servers name.
+    pub(crate) fn limited_rate(
+        &self,
+        pools: &[PoolKey],
+        min_shard_ratio: f64,
+        view: &TopologyView,
+    ) -> Option<f64> {
+        reachability::limited_rate(pools, min_shard_ratio, view, |key| {
+            self.servers.with(key, |s| s.stats.notices.rate().rate_per_s()).flatten()
+        })
+    }
+
     /// Replaces the routes if the table is newer.
     pub fn update_routes(&self, table: RouteTable) {
         let (version, routes) = (table.version, table.routes.len());
--- a/tests/server_notices.rs
+++ b/tests/server_notices.rs
@@ -7,8 +7,9 @@
 use support::ms;
 use tamarackdeck::{
     Availability, Candidate, Key, ListenerNumber, MAX_BACKOFF, NameInterner, NotRunCode, Notice,
-    NoticeMemory, PoolKey, ReturnTimes, RunId, RunReport, Sent, ServerKey, ServerNotices,
-    ServerReport, ServerStats, ServiceShare, Tick, Topology, available_from, pick_server,
+    NoticeMemory, PoolKey, Reservation, ReturnTimes, RunId, RunReport, Sent, ServerKey,
+    ServerNotices, ServerReport, ServerStats, ServiceShare, Tick, Topology, available_from,
+    pick_server, return_from,
 };
 
 const LEAVING: Notice = Notice { draining: true, backoff: None };
@@ -82,7 +83,12 @@
             notices.record(*notice, ms(*at));
         }
         for (at, refused) in case.refused {
-            assert_eq!(notices.permit(ms(*at)).err(), *refused, "{}: {at} ms", case.name);
+            assert_eq!(
+                notices.permit(&Reservation::default(), ms(*at)).err(),
+                *refused,
+                "{}: {at} ms",
+                case.name
+            );
         }
     }
 }
@@ -109,7 +115,12 @@
             let run = |boot_id, notice| RunReport { boot_id, notice, ..RunReport::default() };
             assert!(stats.record_run(run(first, notice), Duration::ZERO, ms(1)), "{}", case.name);
             stats.record_run(run(second, Notice::default()), Duration::ZERO, ms(2));
-            assert_eq!(stats.notices.permit(ms(3)).is_ok(), case.starts_clean, "{}", case.name);
+            assert_eq!(
+                stats.notices.permit(&Reservation::default(), ms(3)).is_ok(),
+                case.starts_clean,
+                "{}",
+                case.name
+            );
         }
     }
 }
@@ -226,10 +237,20 @@
                 }
             }
         }
-        assert_eq!(stats.notices.permit(ms(2)).err(), case.refused, "{}", case.name);
+        assert_eq!(
+            stats.notices.permit(&Reservation::default(), ms(2)).err(),
+            case.refused,
+            "{}",
+            case.name
+        );
         let once_listed = stats.unlisted_notices().once_listed(ms(2));
-        assert_eq!(once_listed.permit(ms(3)).err(), case.refused_once_listed, "{}", case.name);
-        assert!(once_listed.permit(ms(60_002)).is_ok(), "{}", case.name);
+        assert_eq!(
+            once_listed.permit(&Reservation::default(), ms(3)).err(),
+            case.refused_once_listed,
+            "{}",
+            case.name
+        );
+        assert!(once_listed.permit(&Reservation::default(), ms(60_002)).is_ok(), "{}", case.name);
     }
 }
 
@@ -467,7 +488,8 @@
                         key: ServerKey::new(n, 0),
                         expected: stats.expected_latency(usual, 1, false, ms(at)),
                         round_trip: Duration::ZERO,
-                        has_capacity: !case.keeps_notices || stats.notices.permit(ms(at)).is_ok(),
+                        has_capacity: !case.keeps_notices
+                            || stats.notices.permit(&Reservation::default(), ms(at)).is_ok(),
                         is_healthy: stats.outlier.can_send(true, ms(at)),
                     }
                 })
@@ -498,7 +520,12 @@
     ReturnCase {
         name: "as fast as the service can take them",
         callers: 50,
-        share: ServiceShare { slots: 10, usual: Duration::from_millis(100), instances: 1 },
+        share: ServiceShare {
+            slots: 10,
+            usual: Duration::from_millis(100),
+            instances: 1,
+            limited_rate: None,
+        },
         peak: 11,
         last: 2_490,
         wraps: 0,
@@ -506,7 +533,12 @@
     ReturnCase {
         name: "an instance among many takes its share",
         callers: 10,
-        share: ServiceShare { slots: 10, usual: Duration::from_millis(100), instances: 10 },
+        share: ServiceShare {
+            slots: 10,
+            usual: Duration::from_millis(100),
+            instances: 10,
+            limited_rate: None,
+        },
         peak: 2,
         last: 2_900,
         wraps: 0,
@@ -514,21 +546,76 @@
     ReturnCase {
         name: "more callers than return within the maximum spread",
         callers: 100,
-        share: ServiceShare { slots: 10, usual: Duration::from_millis(100), instances: 5 },
+        share: ServiceShare {
+            slots: 10,
+            usual: Duration::from_millis(100),
+            instances: 5,
+            limited_rate: None,
+        },
         peak: 15,
         last: 3_000,
         wraps: 4,
     },
+    ReturnCase {
+        name: "as fast as the rates that servers name allow",
+        callers: 5,
+        share: ServiceShare {
+            slots: 10,
+            usual: Duration::from_millis(100),
+            instances: 1,
+            limited_rate: Some(4.0),
+        },
+        peak: 1,
+        last: 3_000,
+        wraps: 0,
+    },
     ReturnCase {
         name: "nothing is known of the service",
         callers: 10,
-        share: ServiceShare { slots: 0, usual: Duration::ZERO, instances: 0 },
+        share: ServiceShare { slots: 0, usual: Duration::ZERO, instances: 0, limited_rate: None },
         peak: 10,
         last: 2_000,
         wraps: 0,
     },
 ];
 
+struct ReturnFromCase {
+    name: &'static str,
+    free_at: u64,
+    asked_until: u64,
+    returns_from: u64,
+}
+
+const RETURNS_FROM: &[ReturnFromCase] = &[
+    ReturnFromCase {
+        name: "the time that servers asked for",
+        free_at: 9_000,
+        asked_until: 9_000,
+        returns_from: 9_000,
+    },
+    ReturnFromCase {
+        name: "room within the rate soon",
+        free_at: 300,
+        asked_until: 0,
+        returns_from: 300,
+    },
+    ReturnFromCase {
+        name: "room on this instance in hours, on another one sooner",
+        free_at: 9_000_000,
+        asked_until: 0,
+        returns_from: 1_000,
+    },
+    ReturnFromCase { name: "both", free_at: 9_000_000, asked_until: 3_000, returns_from: 3_000 },
+];
+
+#[test]
+fn callers_do_not_wait_for_one_instance_of_many() {
+    for case in RETURNS_FROM {
+        let from = return_from(ms(case.free_at), ms(case.asked_until), ms(0));
+        assert_eq!(from, ms(case.returns_from), "{}", case.name);
+    }
+}
+
 #[test]
 fn callers_that_are_turned_away_return_one_after_another() {
     for case in RETURNS {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! Helpers shared by several test files.
 #![allow(dead_code)]
 
-use tamarackdeck::{SendPermit, ServerNotices, Tick};
+use tamarackdeck::{Reservation, SendPermit, ServerNotices, Tick};
 
 /// Returns the seeds of a randomized test: `default_count` fixed ones, or those that `SEEDS` gives as a list
 /// (`SEEDS=7,12`) or as a count (`SEEDS=x500`).
@@ -22,5 +22,7 @@
 
 /// Returns the permit to send to a server that asked for nothing.
 pub fn permit() -> SendPermit {
-    ServerNotices::default().permit(Tick::default()).expect("it asked for nothing")
+    ServerNotices::default()
+        .permit(&Reservation::default(), Tick::default())
+        .expect("it asked for nothing")
 }
