--- a/src/transport/peers/mod.rs
+++ b/src/transport/peers/mod.rs
@@ -176,12 +176,13 @@
         self.members.lock().iter().cloned().collect()
     }
 
-    /// Stores a document from the platform and pushes the update to peers.
-    pub fn publish(self: &Arc<Self>, topic: &str, doc: Doc) {
-        if let Some(delta) = self.update_doc(topic, Arc::new(doc)) {
-            let deltas = IndexMap::from([(topic.to_owned(), delta)]);
-            tokio::spawn(heartbeats::push_deltas(self.clone(), deltas));
-        }
+    /// Stores a document from the platform and pushes the update to peers; returns `false` if the document is not newer
+    /// than the one held.
+    pub fn publish(self: &Arc<Self>, topic: &str, doc: Doc) -> bool {
+        let Some(delta) = self.update_doc(topic, Arc::new(doc)) else { return false };
+        let deltas = IndexMap::from([(topic.to_owned(), delta)]);
+        tokio::spawn(heartbeats::push_deltas(self.clone(), deltas));
+        true
     }
 
     fn update_doc(&self, topic: &str, doc: Arc<Doc>) -> Option<DocDelta> {
