Revisions of the store are compared within its era only

What callers saw: after the store came back from an older copy, a confirmed route was served one to four seconds late in a failure domain or two, and in some mixes later than the users' bound (CONFIG).

Cause: the version of a document was the store's revision, and the revision of a watch counted whatever era it was of. Revisions go back with the copy and are given out again: a watcher that read the change dropped it, since its document was not newer than one from before the restore; a watch from a lost revision does not hear what is written before the counter has passed it. Class: numbers compared that were given out by different counters.

Change: coordination/store_era.rs decides where a watch goes on. The era of a reply goes with its revision; an answer of another era than the revision that was asked from is not used and the kind is listed again, also when any other kind's reply or any document shows the new era; a list of an earlier era is not used. The version of a document begins with the era, so that any of a later one is newer.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -27,6 +27,7 @@
 pub(crate) mod shares;
 pub(crate) mod sliding_window;
 pub(crate) mod snapshot;
+pub(crate) mod store_era;
 pub(crate) mod tickets;
 pub(crate) mod top_records;
 pub(crate) mod warming;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 pub use coordination::shares::{ColdLimiter, Places, Role, connection_share};
 pub use coordination::sliding_window::SlidingWindow;
 pub use coordination::snapshot::choose_snapshot;
+pub use coordination::store_era::{ListUse, StoreCall, StorePoint, WatchCursor, WatchUse, doc_era};
 pub use coordination::tickets::{
     Accepted, Change, Checked, Draft, Head, MAX_CONFIG_BYTES, is_newer,
 };
