What was written in the lost time holds until it is written again

Cause: the list of the restored store replaced what was known at once; the grace period kept missing entries only, and began only where a call had failed. Class: an older state taken for a newer one, since it was read later.

Change: a list of a new era begins the grace period whatever was seen of the outage, and entries that differ from the known ones, lack or are back take effect at its end, unless a watch reports them. Servers and operators write again within it.

--- a/src/state/entry_cache.rs
+++ b/src/state/entry_cache.rs
@@ -1,7 +1,9 @@
 //! Cache of one kind of entries in the platform's store, with a grace period after a store outage.
 //!
 //! Entries that their writers must renew expire while the store is unavailable, although the writers are
-//! alive. After the store recovers, a missing entry is therefore kept until the grace period ends.
+//! alive. After the store recovers, a missing entry is therefore kept until the grace period ends. A store that comes back
+//! from an older copy lacks what was written since, and has again what was changed or removed since: until the writers have
+//! written again, what was known counts.
 
 use std::time::Duration;
 
@@ -16,72 +18,109 @@
 #[derive(Clone, Debug)]
 pub struct EntryCache<T> {
     items: IndexMap<String, T>,
-    expiring: IndexMap<String, Tick>,
+    /// Changes that take effect at the end of the grace period: the new entry, or `None` for a removal.
+    pending: IndexMap<String, (Tick, Option<T>)>,
     grace_until: Tick,
 }
 
 impl<T> Default for EntryCache<T> {
     fn default() -> Self {
         let grace_until = Tick::default();
-        Self { items: IndexMap::new(), expiring: IndexMap::new(), grace_until }
+        Self { items: IndexMap::new(), pending: IndexMap::new(), grace_until }
     }
 }
 
-impl<T> EntryCache<T> {
+impl<T: Clone + PartialEq> EntryCache<T> {
     /// Starts the grace period; called when the store recovers from an outage.
     pub fn start_grace(&mut self, now: Tick) {
         self.grace_until = now + REREGISTRATION_GRACE;
     }
 
-    /// Replaces all entries with those known to another instance; expiring entries that it lacks are dropped.
+    /// Replaces all entries with those known to another instance; pending changes of entries that it lacks are dropped.
     pub fn replace_with(&mut self, known: impl IntoIterator<Item = (String, T)>) {
         self.items = known.into_iter().collect();
-        self.expiring.retain(|name, _| self.items.contains_key(name));
+        self.pending.retain(|name, _| self.items.contains_key(name));
     }
 
     /// Applies a full list from the store; cached entries that it lacks are removed.
     pub fn apply_list(&mut self, list: impl IntoIterator<Item = (String, T)>, now: Tick) {
         let list: Vec<(String, T)> = list.into_iter().collect();
-        let names: IndexSet<&String> = list.iter().map(|(name, _)| name).collect();
+        self.remove_missing(&list, now);
+        list.into_iter().for_each(|(name, item)| self.insert(name, item));
+    }
+
+    /// Applies a full list from a store that came back from an older copy, and starts the grace period.
+    ///
+    /// Whether an entry that differs is of the copy or was written since is not known before its writer has had the time to
+    /// write again.
+    pub fn apply_restored_list(&mut self, list: impl IntoIterator<Item = (String, T)>, now: Tick) {
+        self.start_grace(now);
+        let list: Vec<(String, T)> = list.into_iter().collect();
+        self.remove_missing(&list, now);
+        for (name, item) in list {
+            if self.items.get(&name) == Some(&item) {
+                self.pending.shift_remove(&name);
+            } else {
+                self.pending.insert(name, (self.grace_until, Some(item)));
+            }
+        }
+    }
+
+    fn remove_missing(&mut self, list: &[(String, T)], now: Tick) {
+        let names: IndexSet<&str> = list.iter().map(|(name, _)| name.as_str()).collect();
+        let known = self.items.keys().chain(self.pending.keys());
         let missing: Vec<String> =
-            self.items.keys().filter(|n| !names.contains(*n)).cloned().collect();
+            known.filter(|name| !names.contains(name.as_str())).cloned().collect();
         missing.iter().for_each(|name| self.remove(name, now));
-        list.into_iter().for_each(|(name, item)| self.insert(name, item));
     }
 
-    /// Inserts an entry, or replaces it; it no longer expires.
+    /// Returns an entry.
+    pub fn get(&self, name: &str) -> Option<&T> {
+        self.items.get(name)
+    }
+
+    /// Inserts an entry, or replaces it; no change of it is pending any more.
     pub fn insert(&mut self, name: String, item: T) {
-        self.expiring.shift_remove(&name);
+        self.pending.shift_remove(&name);
         self.items.insert(name, item);
     }
 
     /// Removes an entry; during the grace period it is kept until the period ends.
     pub fn remove(&mut self, name: &str, now: Tick) {
         if now < self.grace_until && self.items.contains_key(name) {
-            self.expiring.entry(name.to_owned()).or_insert(self.grace_until);
+            let (_, change) =
+                self.pending.entry(name.to_owned()).or_insert((self.grace_until, None));
+            *change = None;
         } else {
             self.items.shift_remove(name);
+            self.pending.shift_remove(name);
         }
     }
 
-    /// Removes the entries whose grace period is over; returns whether there were any.
-    pub fn remove_expired(&mut self, now: Tick) -> bool {
+    /// Makes the changes whose grace period is over; returns whether there were any.
+    pub fn apply_pending(&mut self, now: Tick) -> bool {
         let due: Vec<String> =
-            self.expiring.iter().filter(|(_, at)| **at <= now).map(|(n, _)| n.clone()).collect();
+            self.pending.iter().filter(|(_, (at, _))| *at <= now).map(|(n, _)| n.clone()).collect();
         for name in &due {
-            self.expiring.shift_remove(name);
-            self.items.shift_remove(name);
+            match self.pending.shift_remove(name) {
+                Some((_, Some(item))) => {
+                    self.items.insert(name.clone(), item);
+                }
+                _ => {
+                    self.items.shift_remove(name);
+                }
+            }
         }
         !due.is_empty()
     }
 
-    /// Iterates over the entries, including those that are expiring.
+    /// Iterates over the entries, those with a pending change as they were.
     pub fn iter(&self) -> impl Iterator<Item = (&str, &T)> {
         self.items.iter().map(|(name, item)| (name.as_str(), item))
     }
 
-    /// Returns whether any entry is expiring.
-    pub fn has_expiring(&self) -> bool {
-        !self.expiring.is_empty()
+    /// Returns whether the change of any entry is pending.
+    pub fn has_pending(&self) -> bool {
+        !self.pending.is_empty()
     }
 }
--- a/tests/news.rs
+++ b/tests/news.rs
@@ -87,7 +87,7 @@
         let mut entries = EntryCache::default();
         entries.apply_list([("a".to_owned(), 1), ("b".to_owned(), 2)], ms(0));
         (case.steps)(&mut entries);
-        entries.remove_expired(ms(10_000));
+        entries.apply_pending(ms(10_000));
         let mut left: Vec<_> = entries.iter().map(|(name, _)| name).collect();
         let mut want = case.left.to_vec();
         left.sort_unstable();
@@ -96,6 +96,93 @@
     }
 }
 
+struct RestoredCase {
+    name: &'static str,
+    /// What the restored store lists at 7.0 s; `a` is 1 and `b` is 2 before.
+    list: &'static [(&'static str, u32)],
+    then: fn(&mut EntryCache<u32>),
+    /// Entries in the grace period, and after it.
+    during: &'static [(&'static str, u32)],
+    after: &'static [(&'static str, u32)],
+}
+
+const RESTORED: &[RestoredCase] = &[
+    RestoredCase {
+        name: "nothing was lost",
+        list: &[("a", 1), ("b", 2)],
+        then: |_| {},
+        during: &[("a", 1), ("b", 2)],
+        after: &[("a", 1), ("b", 2)],
+    },
+    RestoredCase {
+        name: "an entry of the lost time is not written again",
+        list: &[("b", 2)],
+        then: |_| {},
+        during: &[("a", 1), ("b", 2)],
+        after: &[("b", 2)],
+    },
+    RestoredCase {
+        name: "an entry of the lost time is written again",
+        list: &[("b", 2)],
+        then: |e| e.insert("a".into(), 1),
+        during: &[("a", 1), ("b", 2)],
+        after: &[("a", 1), ("b", 2)],
+    },
+    RestoredCase {
+        name: "an entry that was removed is back, and stays",
+        list: &[("a", 1), ("b", 2), ("c", 3)],
+        then: |_| {},
+        during: &[("a", 1), ("b", 2)],
+        after: &[("a", 1), ("b", 2), ("c", 3)],
+    },
+    RestoredCase {
+        name: "an entry that was removed is back, and is removed again",
+        list: &[("a", 1), ("b", 2), ("c", 3)],
+        then: |e| e.remove("c", ms(7_500)),
+        during: &[("a", 1), ("b", 2)],
+        after: &[("a", 1), ("b", 2)],
+    },
+    RestoredCase {
+        name: "an entry is as it was before, and is written again",
+        list: &[("a", 9), ("b", 2)],
+        then: |e| e.insert("a".into(), 1),
+        during: &[("a", 1), ("b", 2)],
+        after: &[("a", 1), ("b", 2)],
+    },
+    RestoredCase {
+        name: "an entry differs, and is not written again",
+        list: &[("a", 9), ("b", 2)],
+        then: |_| {},
+        during: &[("a", 1), ("b", 2)],
+        after: &[("a", 9), ("b", 2)],
+    },
+    RestoredCase {
+        name: "a second restore within the grace period",
+        list: &[("a", 9), ("b", 2)],
+        then: |e| e.apply_restored_list([("b".to_owned(), 2)], ms(8_000)),
+        during: &[("a", 1), ("b", 2)],
+        after: &[("b", 2)],
+    },
+];
+
+#[test]
+fn entries_of_the_lost_time_hold_until_they_are_written_again() {
+    for case in RESTORED {
+        let mut entries = EntryCache::default();
+        entries.apply_list([("a".to_owned(), 1), ("b".to_owned(), 2)], ms(0));
+        let list = case.list.iter().map(|(name, item)| ((*name).to_owned(), *item));
+        entries.apply_restored_list(list, ms(7_000));
+        (case.then)(&mut entries);
+        for (at, expected) in [(8_900, case.during), (10_100, case.after)] {
+            entries.apply_pending(ms(at));
+            let mut left: Vec<_> = entries.iter().map(|(name, item)| (name, *item)).collect();
+            left.sort_unstable();
+            assert_eq!(left, expected, "{} at {at} ms", case.name);
+        }
+        assert!(!entries.has_pending(), "{}", case.name);
+    }
+}
+
 fn member(name: &str, domain: &str) -> Member {
     let addr = "127.0.0.1:9".parse().unwrap();
     Member { id: InstanceId::new(name, 1), domain: domain.into(), addr, power: 0 }
