--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -12,7 +12,7 @@
 use crate::state::time::Tick;
 
 /// Version of the protocol between instances; links between different versions are refused.
-pub const PROTOCOL_VERSION: u32 = 5;
+pub const PROTOCOL_VERSION: u32 = 6;
 
 /// The first message on a link, sent by the instance that opened it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
