The gatherers of a domain are found in one pass over its members

Cause: each member was compared with the largest of its domain, found anew for each; the places of limits go through the gatherers of all domains at each change of a document.

Change: the largest member is found once for each domain. The result is the same.

--- a/src/coordination/gatherers.rs
+++ b/src/coordination/gatherers.rs
@@ -229,14 +229,19 @@
 pub(crate) fn domain_gatherers<'a>(members: &'a [Member], domain: &str) -> Vec<&'a Member> {
     let local = members.iter().filter(|m| m.domain == domain);
     let count = local.clone().count();
-    let mut large: Vec<&Member> = local.filter(|m| is_large(m, members)).collect();
-    large.sort_by_key(|m| Reverse(hash::rendezvous_weight("gather", m.id.name())));
+    let largest = local.clone().map(|m| m.power).max().unwrap_or_default();
+    let mut large: Vec<&Member> = local.filter(|m| has_power(m, largest)).collect();
+    large.sort_by_cached_key(|m| Reverse(hash::rendezvous_weight("gather", m.id.name())));
     large.truncate(MIN_GATHERERS.max(count / MEMBERS_PER_GATHERER));
     large
 }
 
 fn is_large(member: &Member, members: &[Member]) -> bool {
     let local = members.iter().filter(|m| m.domain == member.domain);
-    let largest = local.map(|m| m.power).max().unwrap_or_default();
+    has_power(member, local.map(|m| m.power).max().unwrap_or_default())
+}
+
+/// Returns whether a member has enough power for a gatherer; `largest` is that of the largest member of its domain.
+fn has_power(member: &Member, largest: u32) -> bool {
     f64::from(member.power) >= f64::from(largest) * MIN_POWER_RATIO
 }
