The share of a limit is decided in coordination

Cause: which share and place an instance has of a rate was put together in transport.

Change: shares::limit_share, with the reason for the even share of servers that all instances send to. No change of behaviour.

--- a/src/coordination/shares.rs
+++ b/src/coordination/shares.rs
@@ -48,6 +48,23 @@
     pub in_role: f64,
 }
 
+/// Returns this instance's share of a rate that a server names, and its place among the instances with the same share.
+///
+/// Servers that get requests of sharded routes only are sent most of them by gatherers. Any other server is sent requests by
+/// all instances alike; an uneven share would count for a part of its requests only, and the shares of all would exceed one.
+pub fn limit_share(
+    role: Role,
+    places: Places,
+    instances: usize,
+    is_only_gathered: bool,
+) -> (f64, f64) {
+    if is_only_gathered {
+        (role.share(instances), places.in_role)
+    } else {
+        (Role::Alone.share(instances), places.among_all)
+    }
+}
+
 /// Returns the number of connections that this instance may have to a server, at least one.
 ///
 /// If there are few per instance, half of them are reserved for gatherers, since the other instances
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,7 +49,7 @@
     ServerNotices,
 };
 pub use coordination::server_stats::{Candidate, RunReport, Sent, ServerStats, pick_server};
-pub use coordination::shares::{ColdLimiter, Places, Role, connection_share};
+pub use coordination::shares::{ColdLimiter, Places, Role, connection_share, limit_share};
 pub use coordination::sliding_window::SlidingWindow;
 pub use coordination::snapshot::choose_snapshot;
 pub use coordination::store_era::{ListUse, StoreCall, StorePoint, WatchCursor, WatchUse, doc_era};
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -450,13 +450,10 @@
     /// Returns this instance's part of what a server takes from all instances together.
     pub(crate) fn limit_part(&self, view: &TopologyView, server: &Server) -> LimitPart {
         let (role, places) = (self.role(), *self.places.lock());
-        let (role, place) = if view.is_only_gathered(server) {
-            (role, places.in_role)
-        } else {
-            (Role::Alone, places.among_all)
-        };
+        let is_only_gathered = view.is_only_gathered(server);
+        let (share, place) = shares::limit_share(role, places, self.instances(), is_only_gathered);
         LimitPart {
-            share: role.share(self.instances()),
+            share,
             // points at different servers are not at one moment
             place: place + hash::unit_digest(&server.report.id),
             time_of_day: self.clock.time_of_day(),
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -11,7 +11,7 @@
 use tamarackdeck::{
     Availability, InstanceId, LimitPart, LimitReport, LimitedRate, Member, NameInterner,
     NotRunCode, Notice, RateLimit, Reservation, Role, ServerNotices, ServerReport, Tick, Topology,
-    limited_rate, places, role,
+    limit_share, limited_rate, places, role,
 };
 
 /// The users' rule: what a server may get in any `WINDOW`, from the instances that it told `TOLD_BEFORE` earlier, from
@@ -514,8 +514,13 @@
             let in_role = of_role.map(|(m, _)| places(m, &members).in_role).collect();
             assert!(is_spread(in_role), "{}: gatherers {is_gatherer}", case.name);
         }
-        let sum: f64 = roles.iter().map(|role| role.share(members.len())).sum();
-        assert!(sum <= 1.0 + 1e-9, "{}: the shares are {sum}", case.name);
+        for is_only_gathered in [false, true] {
+            let of_member = |(m, role): (&Member, &Role)| {
+                limit_share(*role, places(m, &members), members.len(), is_only_gathered).0
+            };
+            let sum: f64 = members.iter().zip(&roles).map(of_member).sum();
+            assert!(sum <= 1.0 + 1e-9, "{}: the shares are {sum}", case.name);
+        }
     }
 }
 
