A configuration that the platform has lost is written again (own interface)

What operators saw: after the platform came back from an older copy, the next ticket was refused ("the next ticket is 3", 409) though version 3 was in force, and instances that all started anew went back to version 2, which had been replaced (CONFIG).

Cause: the head object was trusted whatever its age, and a watch waits for a version above the last one, which the copy reaches again much later.

Change: versions of the configuration rise by one and never go back, so that a head with a lower version than the one in force is a loss. Who submits a ticket, and the watchers, write the one in force again, under the condition that the head is the object that was read. After a failed watch the head is read whatever its version.

Measured: two cases of tests/processes.rs (a ticket follows; all instances start anew) fail on the code of before and pass; the stand-in ends watches when it is restored.

--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use anyhow::Result;
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
 use parking_lot::{Mutex, RwLock};
 
+use crate::coordination::once::WriteOutcome;
 use crate::coordination::tickets::{Head, is_newer};
-use crate::protocol::platform::Platform;
+use crate::protocol::platform::{HEAD_KEY, Platform, encode_head};
 use crate::protocol::upstream::UpstreamCodec;
 use crate::state::arena::RouteKey;
 use crate::state::catalog::Catalog;
@@ -149,6 +151,22 @@
         }
     }
 
+    /// Returns the configuration in force if the platform has lost it, that is, holds the older one `found`.
+    pub(crate) fn lost_head(&self, found: &Head) -> Option<Head> {
+        let in_force = self.config.head.lock();
+        is_newer(&found.fleet, &in_force.fleet).then(|| in_force.clone())
+    }
+
+    /// Writes the configuration in force again to a platform that came back without it.
+    ///
+    /// Returns the new version of the head object, or `None` if the object was changed meanwhile or the reply was lost.
+    pub(crate) async fn write_lost_head(&self, lost: &Head, version: u64) -> Result<Option<u64>> {
+        log::warn!(version = lost.fleet.version; "the platform has lost the configuration in force; writing it again");
+        self.tier.metrics.platform_calls.with_label_values(&["head"]).inc();
+        let (outcome, version) = self.platform.put(HEAD_KEY, encode_head(lost)?, version).await?;
+        Ok((outcome == WriteOutcome::Applied).then_some(version))
+    }
+
     /// Records whether the last call to the platform succeeded.
     pub(crate) fn record_platform_result(&self, ok: bool) {
         self.peers.set_can_watch(ok);
--- a/src/transport/operators/submit.rs
+++ b/src/transport/operators/submit.rs
@@ -31,7 +31,7 @@
     let mut draft = Change::new(ticket);
     let token = node.next_id();
     for _ in 0..MAX_ATTEMPTS {
-        let (head, version) = match read_head(node).await {
+        let (head, version) = match read_head_in_force(node).await {
             Ok(read) => read,
             Err(e) => return SubmitResult::PlatformUnavailable(format!("{e:#}")),
         };
@@ -76,8 +76,18 @@
     Ok(())
 }
 
+/// Reads the head object and its version from the platform, and writes the one in force again if the platform has lost it.
+async fn read_head_in_force(node: &Node) -> Result<(Head, u64)> {
+    let (found, version) = read_head(node).await?;
+    let Some(lost) = node.lost_head(&found) else { return Ok((found, version)) };
+    match node.write_lost_head(&lost, version).await? {
+        Some(version) => Ok((lost, version)),
+        None => Err(anyhow!("the head object was changed while a lost one was written again")),
+    }
+}
+
 /// Reads the head object and its version from the platform.
-pub(crate) async fn read_head(node: &Node) -> Result<(Head, u64)> {
+async fn read_head(node: &Node) -> Result<(Head, u64)> {
     if node.peers.faults.is_platform_cut() {
         return Err(anyhow!("the platform is cut off"));
     }
--- a/src/transport/store/watches.rs
+++ b/src/transport/store/watches.rs
@@ -5,7 +5,9 @@
 
 use rand::RngExt;
 
-use crate::protocol::platform::{HEAD_KEY, InstanceState, ListedInstance, Object, parse_head};
+use crate::protocol::platform::{
+    HEAD_KEY, InstanceState, ListedInstance, Object, PlatformError, parse_head,
+};
 use crate::state::members::{InstanceId, Member};
 use crate::transport::node::Node;
 
@@ -28,37 +30,55 @@
     tokio::time::sleep(RETRY_PAUSE.mul_f64(jitter)).await;
 }
 
-async fn watch_object(node: &Node, key: &str, after: u64) -> Option<Object> {
+/// Waits until the version of an object exceeds `after`; `None` if it does not in time.
+///
+/// # Errors
+/// If the platform did not answer.
+async fn watch_object(node: &Node, key: &str, after: u64) -> Result<Option<Object>, PlatformError> {
     let cut = node.peers.faults.is_platform_cut();
     if cut {
         node.record_platform_result(false);
     }
     if cut || !should_watch(node) {
         pause().await;
-        return None;
+        return Ok(None);
     }
     node.tier.metrics.platform_calls.with_label_values(&["watch"]).inc();
     let found = node.platform.watch(key, after, WATCH_TIMEOUT).await;
     node.record_platform_result(found.is_ok());
-    match found {
-        Ok(found) => found,
-        Err(e) => {
-            log::debug!("watch of {key} failed: {e}");
-            pause().await;
-            None
-        }
+    if let Err(e) = &found {
+        log::debug!("watch of {key} failed: {e}");
+        pause().await;
     }
+    found
 }
 
 /// Watches the head object and publishes each new configuration.
+///
+/// The platform may come back from an outage with an older head object, whose versions are given out again: the object is
+/// then read whatever its version, and the configuration in force is written again if it is gone.
 pub(crate) async fn watch_head(node: Arc<Node>) {
     let mut known_version = 0;
     loop {
-        let Some(object) = watch_object(&node, HEAD_KEY, known_version).await else { continue };
+        let object = match watch_object(&node, HEAD_KEY, known_version).await {
+            Ok(Some(object)) => object,
+            Ok(None) => continue,
+            Err(_) => {
+                known_version = 0;
+                continue;
+            }
+        };
         match parse_head(&object) {
             Ok((head, version)) => {
                 known_version = version;
-                node.publish(&head);
+                match node.lost_head(&head) {
+                    None => node.publish(&head),
+                    Some(lost) => {
+                        if let Err(e) = node.write_lost_head(&lost, version).await {
+                            log::warn!("cannot write the lost configuration again: {e:#}");
+                        }
+                    }
+                }
             }
             Err(e) => {
                 log::error!("cannot decode {HEAD_KEY}: {e:#}");
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -35,11 +35,14 @@
     lists: Vec<(Instant, Vec<ListedInstance>)>,
     faults: PlatformFaults,
     calls: IndexMap<String, u64>,
+    /// Restores so far; each ends the watches that wait.
+    restores: u64,
 }
 
 /// A platform stand-in on its own listener.
 pub struct PlatformStandIn {
     state: Arc<Mutex<State>>,
+    changed: Arc<Notify>,
     list_delay: Duration,
     pub server: Server,
 }
@@ -49,17 +52,32 @@
     pub async fn start(addr: SocketAddr, list_delay: Duration) -> std::io::Result<Self> {
         let state = Arc::new(Mutex::new(State::default()));
         let changed = Arc::new(Notify::new());
-        let shared = state.clone();
+        let (shared, notify) = (state.clone(), changed.clone());
         let server = server::serve(addr, Duration::ZERO, 10_000, move |_, request| {
-            handle(shared.clone(), changed.clone(), list_delay, request)
+            handle(shared.clone(), notify.clone(), list_delay, request)
         });
-        Ok(Self { state, list_delay, server: server.await? })
+        Ok(Self { state, changed, list_delay, server: server.await? })
     }
 
     pub fn set_faults(&self, faults: PlatformFaults) {
         self.state.lock().faults = faults;
     }
 
+    /// Returns a copy of all objects.
+    pub fn copy(&self) -> IndexMap<String, Object> {
+        self.state.lock().objects.clone()
+    }
+
+    /// Replaces all objects by those of an older copy, whose versions go on from there; watches that wait are cut.
+    pub fn restore(&self, copy: IndexMap<String, Object>) {
+        let mut state = self.state.lock();
+        state.objects = copy;
+        state.previous.clear();
+        state.restores += 1;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     pub fn publish_list(&self, listed: Vec<ListedInstance>) {
         self.state.lock().lists.push((Instant::now(), listed));
     }
@@ -178,13 +196,17 @@
     after: u64,
     wait: Duration,
 ) -> Answer {
+    let restores = state.lock().restores;
     let next_change = async {
         loop {
             let notified = changed.notified();
+            if state.lock().restores != restores {
+                return None;
+            }
             let found =
                 state.lock().objects.get(key).filter(|object| object.version > after).cloned();
-            if let Some(object) = found {
-                return object;
+            if found.is_some() {
+                return found;
             }
             if state.lock().faults.down {
                 std::future::pending::<()>().await;
@@ -193,7 +215,7 @@
         }
     };
     match tokio::time::timeout(wait, next_change).await {
-        Ok(object) => respond_json(200, &object),
+        Ok(object) => respond_json(200, &object?),
         Err(_) => Some(respond(204, "")),
     }
 }
--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -9,8 +9,8 @@
 use anyhow::{Context, Result, bail, ensure};
 use indexmap::IndexMap;
 use tamarackdeck::{
-    Capacity, Domain, Dump, InstanceState, ListedInstance, NamedMap, Policy, Preference, Service,
-    ShardMap, Snapshot, Ticket, Upstream,
+    Capacity, Domain, Dump, InstanceState, ListedInstance, NamedMap, Object, Policy, Preference,
+    Service, ShardMap, Snapshot, Ticket, Upstream,
 };
 
 use crate::load::Backend;
@@ -148,6 +148,8 @@
 pub struct Rig {
     pub opts: RigOptions,
     pub platform: PlatformStandIn,
+    /// Copy of the platform's objects, to restore it from.
+    pub platform_copy: IndexMap<String, Object>,
     pub upstreams: IndexMap<String, UpstreamStandIn>,
     pub instances: IndexMap<String, Process>,
     pub standstills: Standstills,
@@ -177,6 +179,7 @@
         let upstreams = start_upstreams(&opts).await?;
         let mut rig = Self {
             platform,
+            platform_copy: IndexMap::new(),
             upstreams,
             instances: IndexMap::new(),
             standstills: Standstills::start(),
--- a/standins/src/scenario.rs
+++ b/standins/src/scenario.rs
@@ -36,6 +36,9 @@
     /// Waits until an instance exits by itself; its exit code must be 0.
     WaitForExit(&'static str),
     SetPlatformFaults(PlatformFaults),
+    /// Copies the platform's objects; `RestorePlatform` replaces them by the last copy.
+    CopyPlatform,
+    RestorePlatform,
     /// Disconnects a failure domain from the other domains; `IsolateDomain` from the platform as well.
     PartitionDomain(&'static str),
     IsolateDomain(&'static str),
@@ -220,6 +223,8 @@
             ensure!(code == 0, "exit code {code}");
         }
         Step::SetPlatformFaults(faults) => rig.platform.set_faults(faults.clone()),
+        Step::CopyPlatform => rig.platform_copy = rig.platform.copy(),
+        Step::RestorePlatform => rig.platform.restore(rig.platform_copy.clone()),
         Step::PartitionDomain(domain) => rig.partition(domain, false).await?,
         Step::IsolateDomain(domain) => rig.partition(domain, true).await?,
         Step::HealPartitions => rig.heal_partitions().await?,
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -171,6 +171,19 @@
     Step::SetPlatformFaults(PlatformFaults::default())
 }
 
+/// Version 3 is accepted and in force, then lost by the platform.
+fn restore_after_a_ticket() -> Vec<(u64, Step)> {
+    vec![
+        (100, Step::SubmitTicket(200)),
+        (300, Step::CopyPlatform),
+        (400, Step::SubmitTicket(200)),
+        (400, Step::WaitForVersion(3, seconds(2))),
+        (800, platform_down()),
+        (1_300, Step::RestorePlatform),
+        (1_300, platform_up()),
+    ]
+}
+
 fn wrong_answers(what: &str) -> Vec<(u64, Step)> {
     vec![(
         500,
@@ -589,6 +602,33 @@
         check: check_mostly_whole,
         ..DEFAULT_CASE
     },
+    Case {
+        name: "the platform comes back from an older copy, a ticket follows",
+        queries_per_s: 0.0,
+        steps: || {
+            let mut steps = restore_after_a_ticket();
+            steps.push((2_000, Step::SubmitTicket(200)));
+            steps.push((2_000, Step::WaitForVersion(4, seconds(3))));
+            steps
+        },
+        check: check_nothing,
+        ..DEFAULT_CASE
+    },
+    Case {
+        name: "the platform comes back from an older copy, all instances start anew",
+        queries_per_s: 0.0,
+        steps: || {
+            let mut steps = restore_after_a_ticket();
+            let names = ["north-0", "north-1", "south-0", "south-1"];
+            steps.extend(names.map(|name| (6_000, Step::KillInstance(name))));
+            let domain = |name: &str| if name.starts_with('n') { "north" } else { "south" };
+            steps.extend(names.map(|name| (6_200, Step::StartInstance(name, domain(name)))));
+            steps.push((6_200, Step::WaitForVersion(3, seconds(5))));
+            steps
+        },
+        check: check_nothing,
+        ..DEFAULT_CASE
+    },
     Case {
         name: "an instance starts while the platform is away",
         load_s: 7,
