Incomplete replies hold what is counted

Cause found by measurement, class "a bound on something other than what is held": the bound of 32 MiB on incomplete replies counts received bytes, while a body grew by doubling: up to twice the bytes, a copy at each step, and free blocks of all sizes left behind. Change: a body of more than a frame is kept in segments of 4 KiB, which are counted as they are allocated; it is joined once it is complete, each segment freed as it is copied.

--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -29,6 +29,9 @@
 /// Size of the read buffer of a client's connection, which bounds the head of a reply, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Size of a segment of an incomplete reply, in bytes; small, since replies in several frames take at least one each.
+const SEGMENT_BYTES: usize = 4 << 10;
+
 /// Returns the settings of connections to servers, which bound the memory that a reply takes before it is read.
 pub(crate) fn client_builder() -> http1::Builder {
     let mut builder = http1::Builder::new();
@@ -215,7 +218,7 @@
     Broken,
 }
 
-/// Bytes of incomplete replies, which all replies of a process share.
+/// Memory of incomplete replies, which all replies of a process share.
 #[derive(Debug)]
 pub(crate) struct ReplyBuffers {
     max_bytes: usize,
@@ -228,7 +231,7 @@
     }
 }
 
-/// The bytes that one reply holds until it is complete or dropped.
+/// The memory that one reply holds until it is complete or dropped, in bytes.
 struct HeldBytes<'a>(&'a ReplyBuffers, usize);
 
 impl HeldBytes<'_> {
@@ -245,6 +248,40 @@
     }
 }
 
+/// The body of an incomplete reply, copied into segments of one size.
+///
+/// A buffer that doubles would hold up to twice the bytes that are counted, and leave free blocks of all sizes behind.
+#[derive(Default)]
+struct Segments(Vec<BytesMut>);
+
+impl Segments {
+    /// Appends `data` and returns the number of bytes allocated for it.
+    fn push(&mut self, mut data: &[u8]) -> usize {
+        let mut allocated = 0;
+        while !data.is_empty() {
+            let room = self.0.last().map_or(0, |last| SEGMENT_BYTES - last.len());
+            if room == 0 {
+                self.0.push(BytesMut::with_capacity(SEGMENT_BYTES));
+                allocated += SEGMENT_BYTES;
+                continue;
+            }
+            let (head, rest) = data.split_at(room.min(data.len()));
+            self.0.last_mut().unwrap().extend_from_slice(head);
+            data = rest;
+        }
+        allocated
+    }
+
+    /// Returns the whole body; frees each segment as soon as it is copied.
+    fn concat(self) -> Bytes {
+        let mut body = BytesMut::with_capacity(self.0.iter().map(BytesMut::len).sum());
+        for segment in self.0 {
+            body.extend_from_slice(&segment);
+        }
+        body.freeze()
+    }
+}
+
 /// Reads the complete reply to a request; fails as soon as it is known to exceed `max_bytes`.
 pub(crate) async fn read_reply(
     res: Response<Incoming>,
@@ -255,22 +292,26 @@
     if incoming.size_hint().lower() > max_bytes as u64 {
         return Err(ReplyError::TooLarge);
     }
-    let mut held = HeldBytes(buffers, 0);
-    // copied together, since a frame of a few bytes would keep a whole buffer
-    let (mut first, mut body) = (Bytes::new(), BytesMut::new());
+    let (mut held, mut received) = (HeldBytes(buffers, 0), 0);
+    // copied from the second frame on, since a frame of a few bytes would keep a whole buffer
+    let (mut first, mut segments) = (Bytes::new(), Segments::default());
     while let Some(frame) = incoming.frame().await {
         let Ok(data) = frame.map_err(|_| ReplyError::Broken)?.into_data() else { continue };
-        if !held.add(data.len()) || held.1 > max_bytes {
+        received += data.len();
+        if received > max_bytes {
             return Err(ReplyError::TooLarge);
         }
-        if held.1 == data.len() {
+        let allocated = if received == data.len() {
             first = data;
+            received
         } else {
-            body.extend_from_slice(&std::mem::take(&mut first));
-            body.extend_from_slice(&data);
+            segments.push(&std::mem::take(&mut first)) + segments.push(&data)
+        };
+        if !held.add(allocated) {
+            return Err(ReplyError::TooLarge);
         }
     }
-    let body = if body.is_empty() { first } else { body.freeze() };
+    let body = if segments.0.is_empty() { first } else { segments.concat() };
     Ok(Reply { status: parts.status.as_u16(), headers: parts.headers, body })
 }
 
