Claims that the platform has lost are written again, and unused keys wait for it

The answer of one request could also be recorded in the claim of another, which had been given the same version. Change: the platform states the era of its store in its replies, and a write may name the era of the version that it expects. An instance remembers its claims for a minute (16 MiB) and writes those again that were made before the era. For 6 s after a restore, in which each instance with claims reads the list and hears of it, nothing runs under a key that seems unused: it is refused as not run, with the time left. Decisions are in coordination/once.rs, apart from calls. Left: a claim whose instance has died, or is cut off for those 6 s, stays lost.

--- a/src/coordination/attempt.rs
+++ b/src/coordination/attempt.rs
@@ -42,6 +42,8 @@
     NoSnapshot,
     /// The platform, which must record the idempotency key first, is unavailable.
     PlatformAway,
+    /// The platform came back from an older copy, and the use of the idempotency key may not be recorded again yet.
+    PlatformRestored,
     /// The idempotency key was already used with another body.
     KeyReused,
     /// The configuration in force has no such service.
@@ -267,6 +269,7 @@
             NotRunCode::NoReplica => "no-replica",
             NotRunCode::NoSnapshot => "no-snapshot",
             NotRunCode::PlatformAway => "platform-away",
+            NotRunCode::PlatformRestored => "platform-restored",
             NotRunCode::KeyReused => "key-reused",
             NotRunCode::UnknownService => "unknown-service",
             NotRunCode::Overloaded => "overloaded",
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,7 +31,8 @@
 };
 pub use coordination::limiter::Limiter;
 pub use coordination::once::{
-    Claim, ClaimAction, Step, WriteOutcome, settle_claim, step_after_create, step_after_read,
+    Claim, ClaimAction, Expected, RecentClaims, Rewrite, Step, StoreEra, WriteOutcome,
+    rewrite_step, settle_claim, step_after_create, step_after_read, step_before_create,
 };
 pub use coordination::outlier::{OutlierDetector, Probe};
 pub use coordination::peer_clock::{MAX_CLOCK_ERROR, PeerClock};
@@ -72,8 +73,9 @@
 pub use protocol::gather::{GatherRequest, GatherResult, GatherScope, GatherTimes};
 pub use protocol::peer::{Heartbeat, Hello, HelloReply, PROTOCOL_VERSION as PEER_PROTOCOL_VERSION};
 pub use protocol::platform::{
-    HEAD_KEY, InstanceState, ListedInstance, Object, Platform, PlatformError, WriteResult,
-    claim_key, encode_head, head_size, parse_head, ticket_key,
+    ERA_HEADER, HEAD_KEY, InstanceState, ListedInstance, Object, Platform, PlatformError,
+    RESTORED_HEADER, WriteResult, claim_key, encode_head, head_size, parse_head, parse_store_era,
+    ticket_key,
 };
 pub use protocol::rate_limit::{InvalidRateLimit, parse_rate_limit};
 pub use protocol::retry_after::{InvalidRetryAfter, parse_retry_after, retry_after_value};
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -5,14 +5,27 @@
 
 use anyhow::{Context, Result as AnyResult};
 use futures::future::BoxFuture;
+use hyper::HeaderMap;
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::once::WriteOutcome;
+use crate::coordination::once::{Expected, StoreEra, WriteOutcome};
 use crate::coordination::tickets::Head;
 
 /// Key of the head object, which holds the configuration in force.
 pub const HEAD_KEY: &str = "config/head";
 
+/// Header of each reply that states the era of the store: a number that rises each time it comes back from an older copy.
+pub const ERA_HEADER: &str = "store-era";
+/// Header of each reply of a store that came back from an older copy: the time since then, in milliseconds.
+pub const RESTORED_HEADER: &str = "store-restored-ms";
+
+/// Returns the era that the headers of a reply state; `None` if they state none.
+pub fn parse_store_era(headers: &HeaderMap) -> Option<StoreEra> {
+    let number = |name| headers.get(name)?.to_str().ok()?.parse().ok();
+    let restored = number(RESTORED_HEADER).map(Duration::from_millis);
+    Some(StoreEra { number: number(ERA_HEADER)?, restored })
+}
+
 /// Returns the key of the object that claims an idempotency key.
 pub fn claim_key(service: &str, key: &str) -> String {
     format!("once/{service}/{key}")
@@ -27,7 +40,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Object {
-    /// Version of the object; each write increases it.
+    /// Version of the object; each write increases it. Versions of the lost time are given out again in the next era.
     pub version: u64,
     /// Value of the object, as JSON text.
     pub value: String,
@@ -68,18 +81,21 @@
 pub trait Platform: Send + Sync + 'static {
     /// Reads an object.
     fn get(&self, key: &str) -> BoxFuture<'_, Result<Option<Object>, PlatformError>>;
-    /// Writes an object if its version is still `version`; version zero creates it.
+    /// Writes an object if it is as expected; version zero creates it.
     ///
     /// An error means that nothing was written; a lost reply is [`WriteOutcome::Unknown`].
     fn put(
         &self,
         key: &str,
         value: String,
-        version: u64,
+        expected: Expected,
     ) -> BoxFuture<'_, Result<WriteResult, PlatformError>>;
-    /// Deletes an object if its version is still `version`.
-    fn remove(&self, key: &str, version: u64)
-    -> BoxFuture<'_, Result<WriteOutcome, PlatformError>>;
+    /// Deletes an object if it is as expected.
+    fn remove(
+        &self,
+        key: &str,
+        expected: Expected,
+    ) -> BoxFuture<'_, Result<WriteOutcome, PlatformError>>;
     /// Waits until the version of an object exceeds `after`; returns `None` after `wait`.
     fn watch(
         &self,
@@ -89,6 +105,8 @@
     ) -> BoxFuture<'_, Result<Option<Object>, PlatformError>>;
     /// Reads the instance list.
     fn instances(&self) -> BoxFuture<'_, Result<Vec<ListedInstance>, PlatformError>>;
+    /// Returns the latest era of the store that a reply has stated, without a call.
+    fn era(&self) -> Option<StoreEra>;
 }
 
 /// Encodes the head object as the JSON text that the platform stores.
--- a/src/transport/callers/once.rs
+++ b/src/transport/callers/once.rs
@@ -9,10 +9,11 @@
 
 use crate::coordination::attempt::{Fault, NotRunCode, Outcome};
 use crate::coordination::once::{
-    Claim, ClaimAction, Step, WriteOutcome, settle_claim, step_after_create, step_after_read,
+    Claim, ClaimAction, Expected, Rewrite, Step, StoreEra, WriteOutcome, rewrite_step,
+    settle_claim, step_after_create, step_after_read, step_before_create,
 };
 use crate::protocol::caller::{Part, Refusal, RequestAnswer, RequestOptions};
-use crate::protocol::platform::claim_key;
+use crate::protocol::platform::{Platform, PlatformError, claim_key};
 use crate::state::hash;
 use crate::transport::callers::query::send_non_idempotent;
 use crate::transport::node::Node;
@@ -46,19 +47,23 @@
 const INITIAL_POLL_DELAY: Duration = Duration::from_millis(20);
 /// Maximum wait for the answer of a request in flight if the caller set no deadline.
 const DEFAULT_WAIT: Duration = Duration::from_millis(1_000);
+/// Pause between two looks whether the platform has lost claims.
+const REWRITE_INTERVAL: Duration = Duration::from_millis(500);
 
 struct KeyedRequest {
     node: Arc<Node>,
     service: String,
     object_key: String,
     claim: Claim,
-    version: u64,
+    /// The claim's object on the platform.
+    object: Expected,
 }
 
 impl KeyedRequest {
     fn new(node: Arc<Node>, service: String, key: String, body: &[u8]) -> Self {
         let claim = Claim { token: node.next_id(), digest: hash::body_digest(body), answer: None };
-        Self { object_key: claim_key(&service, &key), node, service, claim, version: 0 }
+        let object = Expected::version(0);
+        Self { object_key: claim_key(&service, &key), node, service, claim, object }
     }
 
     async fn run(mut self, options: RequestOptions, body: Bytes) -> Result<RequestAnswer, Refusal> {
@@ -69,10 +74,18 @@
                     .map(|part| RequestAnswer { replayed: true, part })
                     .map_err(|_| Refusal::OutcomeUnknown { reason: Fault::Unsettled });
             }
+            Step::Refuse(NotRunCode::PlatformRestored) => return Err(self.refuse_restored()),
+            Step::Withdraw => {
+                self.remove_claim().await;
+                return Err(self.refuse_restored());
+            }
             Step::Refuse(reason) => return Err(Refusal::not_run(reason)),
             Step::Unsettled(reason) => return Err(Refusal::OutcomeUnknown { reason }),
             Step::ReadBack => return Err(Refusal::not_run(NotRunCode::PlatformAway)),
         }
+        let era = self.object.era.unwrap_or_default();
+        let (claim, now) = (self.claim.clone(), self.node.now());
+        self.node.recent_claims.lock().record(&self.object_key, claim, era, now);
         let result = send_non_idempotent(&self.node, &self.service, &options, body).await;
         let answer = result.map(|(shard, body)| Part::new(shard, body));
         self.settle(&answer).await;
@@ -93,16 +106,25 @@
     }
 
     async fn create_claim(&mut self) -> Step {
+        if let Some(step) = step_before_create(self.node.platform.era()) {
+            return match self.read_claim().await {
+                Step::Refuse(NotRunCode::PlatformAway) => step,
+                found => found,
+            };
+        }
         let value = serde_json::to_string(&self.claim).unwrap_or_default();
-        let written = match self.platform().map(|p| p.put(&self.object_key, value, 0)) {
+        // the era before the write: the claim is of this one or of a later one, and is rewritten for nothing at worst
+        let era = self.node.platform.era().map(|era| era.number);
+        let expected = Expected::version(0);
+        let written = match self.platform().map(|p| p.put(&self.object_key, value, expected)) {
             Some(put) => put.await,
             None => return Step::Refuse(NotRunCode::PlatformAway),
         };
         match written {
             Err(_) => Step::Refuse(NotRunCode::PlatformAway),
             Ok((written, version)) => {
-                self.version = version;
-                match step_after_create(written) {
+                self.object = Expected { version, era };
+                match step_after_create(written, self.node.platform.era()) {
                     Step::ReadBack => self.read_claim().await,
                     step => step,
                 }
@@ -112,24 +134,29 @@
 
     async fn read_claim(&mut self) -> Step {
         let Some(platform) = self.platform() else { return Step::Refuse(NotRunCode::PlatformAway) };
-        let found = match platform.get(&self.object_key).await {
+        let found = match read_claim_object(platform, &self.object_key).await {
             Err(_) => None,
             Ok(None) => Some(None),
-            Ok(Some(object)) => match serde_json::from_str::<Claim>(&object.value) {
-                Ok(claim) => {
-                    self.version = object.version;
-                    Some(Some(claim))
-                }
-                Err(_) => None,
-            },
+            Ok(Some((claim, object))) => {
+                self.object = object;
+                Some(Some(claim))
+            }
         };
-        step_after_read(found, &self.claim)
+        step_after_read(found, &self.claim, self.node.platform.era())
+    }
+
+    /// Refuses a request with a key that may have been used in the lost time.
+    fn refuse_restored(&self) -> Refusal {
+        let left = self.node.platform.era().and_then(StoreEra::rewrite_time_left);
+        Refusal::NotRun {
+            reason: NotRunCode::PlatformRestored,
+            retry_after_ms: left.map(|left| left.as_millis() as u64),
+        }
     }
 
     /// Returns the platform and counts a call; none if an injected fault cuts it off.
-    fn platform(&self) -> Option<&dyn crate::protocol::platform::Platform> {
-        self.node.tier.metrics.platform_calls.with_label_values(&["claim"]).inc();
-        (!self.node.peers.faults.is_platform_cut()).then_some(self.node.platform.as_ref())
+    fn platform(&self) -> Option<&dyn Platform> {
+        claims_platform(&self.node)
     }
 
     /// Records the answer in the claim, or removes the claim if the request was not run.
@@ -143,26 +170,112 @@
             }
             Err(_) => ClaimAction::Remove,
         };
-        let Some(platform) = self.platform() else { return };
         match (action, answer) {
             (ClaimAction::Record, Ok(part)) => {
                 let text = serde_json::to_string(part).unwrap_or_default();
-                if text.len() > MAX_RECORDED_ANSWER_BYTES {
-                    return;
-                }
-                let claim = Claim { answer: Some(text), ..self.claim.clone() };
-                let value = serde_json::to_string(&claim).unwrap_or_default();
-                let written = platform.put(&self.object_key, value, self.version).await;
-                if !matches!(written, Ok((WriteOutcome::Applied, _))) {
-                    log::warn!("cannot record the answer in claim {}", self.object_key);
+                if text.len() <= MAX_RECORDED_ANSWER_BYTES {
+                    self.record_answer(text).await;
                 }
             }
             (ClaimAction::Remove, _) => {
-                if let Err(e) = platform.remove(&self.object_key, self.version).await {
-                    log::warn!("cannot remove claim {}: {e}", self.object_key);
-                }
+                self.node.recent_claims.lock().forget(&self.object_key);
+                self.remove_claim().await;
             }
             _ => {}
         }
     }
+
+    async fn record_answer(&mut self, text: String) {
+        self.node.recent_claims.lock().record_answer(&self.object_key, &text, self.node.now());
+        self.claim.answer = Some(text);
+        let value = serde_json::to_string(&self.claim).unwrap_or_default();
+        let Some(platform) = self.platform() else { return };
+        let written = platform.put(&self.object_key, value, self.object).await;
+        if matches!(written, Ok((WriteOutcome::Applied, _))) {
+            return;
+        }
+        log::warn!("cannot record the answer in claim {}", self.object_key);
+        // the claim may have been written again meanwhile, without the answer
+        self.node.recent_claims.lock().record_unwritten(&self.object_key);
+    }
+
+    async fn remove_claim(&self) {
+        if let Err(e) = self.try_remove_claim().await {
+            log::warn!("cannot remove claim {}: {e}", self.object_key);
+        }
+    }
+
+    async fn try_remove_claim(&self) -> Result<(), PlatformError> {
+        let Some(platform) = self.platform() else { return Ok(()) };
+        let mut object = self.object;
+        if platform.era().map(|era| era.number) != object.era {
+            match read_claim_object(platform, &self.object_key).await? {
+                Some((found, at)) if found.token == self.claim.token => object = at,
+                _ => return Ok(()),
+            }
+        }
+        platform.remove(&self.object_key, object).await.map(drop)
+    }
+}
+
+/// Returns the platform and counts a call about a claim; none if an injected fault cuts it off.
+fn claims_platform(node: &Node) -> Option<&dyn Platform> {
+    node.tier.metrics.platform_calls.with_label_values(&["claim"]).inc();
+    (!node.peers.faults.is_platform_cut()).then_some(node.platform.as_ref())
+}
+
+/// Reads a claim and what a write to it must expect.
+async fn read_claim_object(
+    platform: &dyn Platform,
+    key: &str,
+) -> Result<Option<(Claim, Expected)>, PlatformError> {
+    // the era before the read: a write that expects an earlier one than that of the version fails
+    let era = platform.era().map(|era| era.number);
+    let Some(object) = platform.get(key).await? else { return Ok(None) };
+    let claim = serde_json::from_str(&object.value).map_err(|e| PlatformError(e.to_string()))?;
+    Ok(Some((claim, Expected { version: object.version, era })))
+}
+
+/// Writes the claims of this instance again that the platform lost when it came back from an older copy.
+pub(crate) async fn rewrite_lost_claims(node: Arc<Node>) {
+    loop {
+        tokio::time::sleep(REWRITE_INTERVAL).await;
+        let Some(era) = node.platform.era() else { continue };
+        let lost = node.recent_claims.lock().lost(era.number, node.now());
+        for (key, claim) in lost {
+            match rewrite_claim(&node, &key, &claim).await {
+                Ok(true) => {
+                    node.recent_claims.lock().record_written(&key, &claim, era.number);
+                }
+                Ok(false) => {}
+                Err(e) => {
+                    log::warn!("cannot write claim {key} again: {e}");
+                    break;
+                }
+            }
+        }
+    }
+}
+
+/// Writes a claim again; returns whether nothing is left to do for it in this era.
+async fn rewrite_claim(node: &Node, key: &str, claim: &Claim) -> Result<bool, PlatformError> {
+    let Some(platform) = claims_platform(node) else { return Ok(false) };
+    let era = platform.era();
+    let created = Expected { version: 0, era: era.map(|era| era.number) };
+    let value = serde_json::to_string(claim).unwrap_or_default();
+    if platform.put(key, value.clone(), created).await?.0 == WriteOutcome::Applied {
+        log::info!("claim {key}, which the platform has lost, is written again");
+        return Ok(true);
+    }
+    let (Some((found, object)), Some(era)) = (read_claim_object(platform, key).await?, era) else {
+        return Ok(false);
+    };
+    match rewrite_step(&found, claim, era) {
+        Rewrite::Done => Ok(true),
+        Rewrite::Replace => Ok(platform.put(key, value, object).await?.0 == WriteOutcome::Applied),
+        Rewrite::TooLate => {
+            log::error!("claim {key} was lost and is another request's now; it may have run twice");
+            Ok(true)
+        }
+    }
 }
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -8,7 +8,7 @@
 use indexmap::{IndexMap, IndexSet};
 use parking_lot::{Mutex, RwLock};
 
-use crate::coordination::once::WriteOutcome;
+use crate::coordination::once::{Expected, RecentClaims, WriteOutcome};
 use crate::coordination::tickets::{Head, is_newer};
 use crate::protocol::platform::{HEAD_KEY, Platform, encode_head};
 use crate::protocol::upstream::UpstreamCodec;
@@ -38,6 +38,8 @@
     /// Time of the last request to the upstreams of a service for the snapshots they hold.
     pub(crate) snapshots_requested_at: ShardedMap<RouteKey, Tick>,
     platform_answered_at: Mutex<Option<Tick>>,
+    /// The claims on idempotency keys that this instance made, for a platform that loses them.
+    pub(crate) recent_claims: Mutex<RecentClaims>,
     next_id: AtomicU64,
 }
 
@@ -120,6 +122,7 @@
             config,
             snapshots_requested_at: ShardedMap::default(),
             platform_answered_at: Mutex::default(),
+            recent_claims: Mutex::default(),
             next_id: AtomicU64::new(rand::random::<u64>() >> 1),
             cfg,
             me,
@@ -163,7 +166,8 @@
     pub(crate) async fn write_lost_head(&self, lost: &Head, version: u64) -> Result<Option<u64>> {
         log::warn!(version = lost.fleet.version; "the platform has lost the configuration in force; writing it again");
         self.tier.metrics.platform_calls.with_label_values(&["head"]).inc();
-        let (outcome, version) = self.platform.put(HEAD_KEY, encode_head(lost)?, version).await?;
+        let expected = Expected::version(version);
+        let (outcome, version) = self.platform.put(HEAD_KEY, encode_head(lost)?, expected).await?;
         Ok((outcome == WriteOutcome::Applied).then_some(version))
     }
 
--- a/src/transport/operators/submit.rs
+++ b/src/transport/operators/submit.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Result, anyhow};
 
-use crate::coordination::once::WriteOutcome;
+use crate::coordination::once::{Expected, WriteOutcome};
 use crate::coordination::tickets::{Accepted, Change, Head};
 use crate::protocol::platform::{HEAD_KEY, encode_head, head_size, parse_head, ticket_key};
 use crate::state::findings::Findings;
@@ -43,7 +43,7 @@
             Ok(value) => value,
             Err(e) => return SubmitResult::PlatformUnavailable(format!("{e:#}")),
         };
-        match node.platform.put(HEAD_KEY, value, version).await {
+        match node.platform.put(HEAD_KEY, value, Expected::version(version)).await {
             Err(e) => return SubmitResult::PlatformUnavailable(e.to_string()),
             Ok((WriteOutcome::Applied, _)) => return publish(node, checked.accept()).await,
             Ok((WriteOutcome::Conflict, _)) => draft = checked.into_draft(),
@@ -72,7 +72,7 @@
 async fn store_ticket(node: &Node, ticket: &Ticket) -> Result<()> {
     let text = serde_json::to_string(ticket)?;
     node.tier.metrics.platform_calls.with_label_values(&["ticket"]).inc();
-    node.platform.put(&ticket_key(ticket.number), text, 0).await?;
+    node.platform.put(&ticket_key(ticket.number), text, Expected::version(0)).await?;
     Ok(())
 }
 
--- a/src/transport/process/daemon.rs
+++ b/src/transport/process/daemon.rs
@@ -12,7 +12,7 @@
 use crate::protocol::platform::{InstanceState, ListedInstance, Platform};
 use crate::state::members::{InstanceId, Member};
 use crate::transport::callers::api::ApiHandler;
-use crate::transport::callers::frontend;
+use crate::transport::callers::{frontend, once};
 use crate::transport::http;
 use crate::transport::node::Node;
 use crate::transport::operators::listener;
@@ -76,6 +76,7 @@
         tokio::spawn(heartbeats::run(node.peers.clone())),
         tokio::spawn(watches::watch_head(node.clone())),
         tokio::spawn(watches::poll_instances(node.clone())),
+        tokio::spawn(once::rewrite_lost_claims(node.clone())),
         tokio::spawn(probe::run(node.tier.clone())),
     ];
     let stop_requested = stop.clone();
--- a/src/transport/store/http.rs
+++ b/src/transport/store/http.rs
@@ -1,16 +1,19 @@
 //! Client of the platform's object API: JSON over HTTP.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use http_body_util::Full;
 use hyper::{Method, Request};
+use parking_lot::Mutex;
 use serde::de::DeserializeOwned;
 
-use crate::coordination::once::WriteOutcome;
-use crate::protocol::platform::{ListedInstance, Object, Platform, PlatformError, WriteResult};
+use crate::coordination::once::{Expected, StoreEra, WriteOutcome};
+use crate::protocol::platform::{
+    ListedInstance, Object, Platform, PlatformError, WriteResult, parse_store_era,
+};
 use crate::transport::http::{Client, Reply};
 
 /// Time limit for a read or a write.
@@ -19,12 +22,14 @@
 /// A client of the platform over HTTP.
 pub struct HttpPlatform {
     addr: SocketAddr,
+    /// The latest era, and when it was stated first.
+    era: Mutex<Option<(StoreEra, Instant)>>,
 }
 
 impl HttpPlatform {
     /// Creates a client without connecting.
     pub fn new(addr: SocketAddr) -> Self {
-        Self { addr }
+        Self { addr, era: Mutex::default() }
     }
 
     async fn get_reply(&self, path: String, timeout: Duration) -> Result<Reply, PlatformError> {
@@ -46,7 +51,22 @@
             req.body(Full::new(Bytes::from(body))).map_err(|e| PlatformError(e.to_string()))?;
         let client =
             Client::open(self.addr, TIMEOUT).await.map_err(|e| PlatformError(format!("{e:#}")))?;
-        Ok(client.send(req, timeout).await.ok())
+        let reply = client.send(req, timeout).await.ok();
+        if let Some(stated) = reply.as_ref().and_then(|reply| parse_store_era(&reply.headers)) {
+            self.record_era(stated);
+        }
+        Ok(reply)
+    }
+
+    /// Records the era that a reply states, unless a later one is known: replies of two calls may overtake each other.
+    fn record_era(&self, stated: StoreEra) {
+        let mut era = self.era.lock();
+        match *era {
+            Some((known, _)) if known.number >= stated.number => return,
+            Some(_) => log::warn!(era = stated.number; "the platform came back from an older copy"),
+            None => {}
+        }
+        *era = Some((stated, Instant::now()));
     }
 
     async fn read_object(
@@ -63,6 +83,11 @@
     }
 }
 
+fn write_path(key: &str, expected: Expected) -> String {
+    let path = format!("/v1/objects/{key}?if_version={}", expected.version);
+    expected.era.map_or(path.clone(), |era| format!("{path}&if_era={era}"))
+}
+
 fn parse_body<T: DeserializeOwned>(reply: &Reply) -> Result<T, PlatformError> {
     serde_json::from_slice(&reply.body).map_err(|e| PlatformError(e.to_string()))
 }
@@ -76,9 +101,9 @@
         &self,
         key: &str,
         value: String,
-        version: u64,
+        expected: Expected,
     ) -> BoxFuture<'_, Result<WriteResult, PlatformError>> {
-        let path = format!("/v1/objects/{key}?if_version={version}");
+        let path = write_path(key, expected);
         Box::pin(async move {
             match self.call(Method::PUT, path, value, TIMEOUT).await? {
                 Some(reply) if reply.status == 200 => {
@@ -94,9 +119,9 @@
     fn remove(
         &self,
         key: &str,
-        version: u64,
+        expected: Expected,
     ) -> BoxFuture<'_, Result<WriteOutcome, PlatformError>> {
-        let path = format!("/v1/objects/{key}?if_version={version}");
+        let path = write_path(key, expected);
         Box::pin(async move {
             match self.call(Method::DELETE, path, String::new(), TIMEOUT).await? {
                 Some(reply) if reply.status == 200 => Ok(WriteOutcome::Applied),
@@ -124,4 +149,9 @@
             parse_body(&reply)
         })
     }
+
+    fn era(&self) -> Option<StoreEra> {
+        let (stated, at) = (*self.era.lock())?;
+        Some(StoreEra { restored: stated.restored.map(|ago| ago + at.elapsed()), ..stated })
+    }
 }
--- a/src/transport/store/memory.rs
+++ b/src/transport/store/memory.rs
@@ -7,7 +7,7 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use crate::coordination::once::WriteOutcome;
+use crate::coordination::once::{Expected, StoreEra, WriteOutcome};
 use crate::protocol::platform::{ListedInstance, Object, Platform, PlatformError, WriteResult};
 
 /// A platform in memory; its objects are lost when the process ends.
@@ -69,18 +69,18 @@
         &self,
         key: &str,
         value: String,
-        version: u64,
+        expected: Expected,
     ) -> BoxFuture<'_, Result<WriteResult, PlatformError>> {
-        let result = self.write(key, value, version);
+        let result = self.write(key, value, expected.version);
         Box::pin(async move { Ok(result) })
     }
 
     fn remove(
         &self,
         key: &str,
-        version: u64,
+        expected: Expected,
     ) -> BoxFuture<'_, Result<WriteOutcome, PlatformError>> {
-        let result = self.delete(key, version);
+        let result = self.delete(key, expected.version);
         Box::pin(async move { Ok(result) })
     }
 
@@ -100,4 +100,8 @@
         let listed = self.listed.lock().clone();
         Box::pin(async move { Ok(listed) })
     }
+
+    fn era(&self) -> Option<StoreEra> {
+        None
+    }
 }
--- a/src/transport/store/watches.rs
+++ b/src/transport/store/watches.rs
@@ -91,7 +91,10 @@
 /// Polls the platform's instance list and updates the members and the instance count.
 pub(crate) async fn poll_instances(node: Arc<Node>) {
     for round in 0u64.. {
-        let due = round.is_multiple_of(NON_WATCHER_READ_PERIOD) || should_watch(&node);
+        // an instance that has made claims must hear soon that the platform has lost them
+        let due = round.is_multiple_of(NON_WATCHER_READ_PERIOD)
+            || should_watch(&node)
+            || !node.recent_claims.lock().is_empty();
         if due && !node.peers.faults.is_platform_cut() {
             node.tier.metrics.platform_calls.with_label_values(&["list"]).inc();
             match node.platform.instances().await {
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -4,12 +4,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::{Method, Request};
+use hyper::{Method, Request, Response};
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use tamarackdeck::{ListedInstance, Object};
+use tamarackdeck::{ERA_HEADER, ListedInstance, Object, RESTORED_HEADER};
 use tokio::sync::Notify;
 
 use crate::server::{self, Answer, Server, query_param, respond, respond_json};
@@ -35,8 +37,15 @@
     lists: Vec<(Instant, Vec<ListedInstance>)>,
     faults: PlatformFaults,
     calls: IndexMap<String, u64>,
-    /// Restores so far; each ends the watches that wait.
+    /// Restores so far; each starts a new era of the store and ends the watches that wait.
     restores: u64,
+    last_restore: Option<Instant>,
+}
+
+impl State {
+    fn era(&self) -> u64 {
+        1 + self.restores
+    }
 }
 
 /// A platform stand-in on its own listener.
@@ -54,7 +63,11 @@
         let changed = Arc::new(Notify::new());
         let (shared, notify) = (state.clone(), changed.clone());
         let server = server::serve(addr, Duration::ZERO, 10_000, move |_, request| {
-            handle(shared.clone(), notify.clone(), list_delay, request)
+            let (shared, notify) = (shared.clone(), notify.clone());
+            async move {
+                let answer = handle(shared.clone(), notify, list_delay, request).await?;
+                Some(state_era(&shared.lock(), answer))
+            }
         });
         Ok(Self { state, changed, list_delay, server: server.await? })
     }
@@ -74,6 +87,7 @@
         state.objects = copy;
         state.previous.clear();
         state.restores += 1;
+        state.last_restore = Some(Instant::now());
         drop(state);
         self.changed.notify_waiters();
     }
@@ -98,6 +112,16 @@
     }
 }
 
+/// Adds the headers that state the era of the store.
+fn state_era(state: &State, mut answer: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+    answer.headers_mut().insert(ERA_HEADER, state.era().into());
+    if let Some(restored) = state.last_restore {
+        let ago_ms = restored.elapsed().as_millis() as u64;
+        answer.headers_mut().insert(RESTORED_HEADER, ago_ms.into());
+    }
+    answer
+}
+
 async fn handle(
     state: Arc<Mutex<State>>,
     changed: Arc<Notify>,
@@ -132,19 +156,21 @@
     }
     let key = path.strip_prefix("/v1/objects/")?.to_owned();
     let version = query_param(&request, "if_version");
+    let era = query_param(&request, "if_era");
     match *request.method() {
         Method::GET => read_object(&state, &key),
         Method::PUT => {
             let value =
                 String::from_utf8(server::read_body(request).await.unwrap_or_default().into())
                     .ok()?;
-            let written = write_object(&state, key, value, version?);
+            let written = write_object(&state, key, value, version?, era);
             changed.notify_waiters();
             written
         }
         Method::DELETE => {
             let mut state = state.lock();
-            if state.objects.get(&key).map(|object| object.version) != version {
+            let found = state.objects.get(&key).map(|object| object.version);
+            if found != version || era.is_some_and(|era| era != state.era()) {
                 return Some(respond(409, ""));
             }
             state.objects.shift_remove(&key);
@@ -169,10 +195,16 @@
     }
 }
 
-fn write_object(state: &Mutex<State>, key: String, value: String, version: u64) -> Answer {
+fn write_object(
+    state: &Mutex<State>,
+    key: String,
+    value: String,
+    version: u64,
+    era: Option<u64>,
+) -> Answer {
     let mut state = state.lock();
     let current_version = state.objects.get(&key).map_or(0, |object| object.version);
-    if current_version != version {
+    if current_version != version || era.is_some_and(|era| era != state.era()) {
         return Some(respond(409, ""));
     }
     if value.len() > 1_000_000 {
--- a/standins/src/requests.rs
+++ b/standins/src/requests.rs
@@ -58,6 +58,18 @@
     outcomes.clone()
 }
 
+/// Sends a request with its text as body and idempotency key, and again through another instance after `pause`.
+pub(crate) async fn send_twice(
+    balancer: &Balancer,
+    service: &str,
+    text: &str,
+    pause: Duration,
+) -> Vec<RequestOutcome> {
+    let first = send_request(balancer, 0, service, text, Some(text)).await;
+    tokio::time::sleep(pause).await;
+    vec![first, send_request(balancer, 1, service, text, Some(text)).await]
+}
+
 async fn send_request(
     balancer: &Balancer,
     number: u64,
--- a/standins/src/scenario.rs
+++ b/standins/src/scenario.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use anyhow::{Context, Result, ensure};
+use anyhow::{Context, Result, bail, ensure};
 use indexmap::IndexMap;
 use tamarackdeck::{Domain, Ticket};
 
@@ -39,6 +39,9 @@
     /// Copies the platform's objects; `RestorePlatform` replaces them by the last copy.
     CopyPlatform,
     RestorePlatform,
+    /// Sends a non-idempotent request with this text as its body and its idempotency key to the service of such requests,
+    /// and sends it again through another instance after the time.
+    SendWithKey(&'static str, Duration),
     /// Disconnects a failure domain from the other domains; `IsolateDomain` from the platform as well.
     PartitionDomain(&'static str),
     IsolateDomain(&'static str),
@@ -180,18 +183,27 @@
         tokio::spawn(requests::run(balancer.clone(), service, rate, duration))
     });
     let start = tokio::time::Instant::now();
+    let mut keyed = tokio::task::JoinSet::new();
     for (offset, step) in &scenario.steps {
         tokio::time::sleep_until(start + *offset).await;
+        if let (Step::SendWithKey(text, pause), Some((service, _))) = (step, scenario.requests) {
+            let (balancer, text, pause) = (balancer.clone(), *text, *pause);
+            keyed.spawn(async move {
+                (text.to_owned(), requests::send_twice(&balancer, service, text, pause).await)
+            });
+            continue;
+        }
         execute_step(rig, step).await.with_context(|| format!("{step:?}"))?;
     }
     let report = match queries {
         Some(task) => Some(task.await?),
         None => None,
     };
-    let outcomes = match requests {
+    let mut outcomes = match requests {
         Some(task) => task.await?,
         None => OutcomesByBody::new(),
     };
+    outcomes.extend(keyed.join_all().await);
     Ok((report, outcomes))
 }
 
@@ -225,6 +237,7 @@
         Step::SetPlatformFaults(faults) => rig.platform.set_faults(faults.clone()),
         Step::CopyPlatform => rig.platform_copy = rig.platform.copy(),
         Step::RestorePlatform => rig.platform.restore(rig.platform_copy.clone()),
+        Step::SendWithKey(text, _) => bail!("{text}: the scenario names no service of requests"),
         Step::PartitionDomain(domain) => rig.partition(domain, false).await?,
         Step::IsolateDomain(domain) => rig.partition(domain, true).await?,
         Step::HealPartitions => rig.heal_partitions().await?,
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -157,6 +157,12 @@
     assert!(refused > 0, "{:?}", result.outcomes);
 }
 
+/// Requires that the repeat got the recorded answer, once the claim was written again.
+fn check_repeated_later_answered(result: &ScenarioResult) {
+    let answered = standins::requests::RequestOutcome::Answered;
+    assert_eq!(result.outcomes["later"], [answered; 2], "{:?}", result.outcomes);
+}
+
 fn upstream_faults(set: impl FnOnce(&mut UpstreamFaults)) -> UpstreamFaults {
     let mut faults = UpstreamFaults::default();
     set(&mut faults);
@@ -528,6 +534,36 @@
         check: check_nothing,
         ..DEFAULT_CASE
     },
+    Case {
+        name: "the platform comes back from a copy of the last moment, again and again",
+        queries_per_s: 0.0,
+        requests_per_s: 60.0,
+        steps: || {
+            let restore = |n: u64| {
+                [(200 + 300 * n, Step::CopyPlatform), (400 + 300 * n, Step::RestorePlatform)]
+            };
+            (0..8).flat_map(restore).collect()
+        },
+        check: check_nothing,
+        ..DEFAULT_CASE
+    },
+    Case {
+        name: "a key is used again after the platform has lost its claim",
+        queries_per_s: 0.0,
+        requests_per_s: 10.0,
+        steps: || {
+            vec![
+                (200, Step::CopyPlatform),
+                (300, Step::SendWithKey("at-once", Duration::from_millis(1_100))),
+                (300, Step::SendWithKey("later", seconds(10))),
+                (800, platform_down()),
+                (1_300, Step::RestorePlatform),
+                (1_300, platform_up()),
+            ]
+        },
+        check: check_repeated_later_answered,
+        ..DEFAULT_CASE
+    },
     Case {
         name: "the platform is away",
         queries_per_s: 0.0,
