Nothing is sent for a request that its first choice leaves out of reach

Callers of requests over shards could see 502 in place of "not run", and servers ran parts that no answer would have: the first choice found no server for more shards than an answer may lack (cold servers at their rate, a limit's last place taken by another request meanwhile), the sends of the other shards were begun, and some were dispatched before the request was given up. Class: a decision taken after its effect. The check before the first choice does not cover the rate of cold servers. Change: Scatter::start takes such first sends back and gives their picks back; the decision that follows is "not run". Failed before: tests/scatter.rs, "nothing is sent if too few shards have a server" (two sends, ran); now none.

--- a/src/coordination/scatter.rs
+++ b/src/coordination/scatter.rs
@@ -167,9 +167,29 @@
             context.record_request(scatter.shards[index].pool, now);
             sends.extend(scatter.send(index, context, now));
         }
+        if scatter.is_out_of_reach() {
+            scatter.cancel(std::mem::take(&mut sends), context);
+        }
         (scatter, sends)
     }
 
+    /// Returns whether so many shards have failed that the request can not be answered.
+    fn is_out_of_reach(&self) -> bool {
+        let failed = self.shards.iter().filter(|s| s.state == ShardState::Failed).count();
+        self.shards.len() - failed < required_shards(self.opts.min_shard_ratio, self.shards.len())
+    }
+
+    /// Takes first sends back that were not begun, so that no server runs what will not be answered.
+    fn cancel(&mut self, sends: Vec<ShardSend>, context: &mut impl ScatterContext) {
+        for ShardSend { shard, server } in sends {
+            context.cancel_pick(server);
+            let shard = &mut self.shards[shard];
+            shard.tried.clear();
+            (shard.in_flight, shard.awaited) = (0, None);
+            shard.missing_reason = MissingReason::Refused(NotRunCode::NoReplica);
+        }
+    }
+
     /// Sends to a server of the shard that was not tried yet, or fails the shard if there is none.
     ///
     /// If only the retry budget forbids it, a shard among several stays open and is tried again later,
@@ -311,7 +331,7 @@
             || (now >= self.opts.soft_deadline && settled >= soft_required);
         if answered >= required && is_final {
             Decision::Answer
-        } else if all - failed < required || now >= self.opts.hard_deadline {
+        } else if self.is_out_of_reach() || now >= self.opts.hard_deadline {
             let in_flight = self.shards.iter().any(|s| s.in_flight > 0);
             Decision::GiveUp { ran: self.ran || in_flight }
         } else {
--- a/tests/scatter.rs
+++ b/tests/scatter.rs
@@ -25,19 +25,40 @@
     spent: u32,
     requests: IndexMap<PoolKey, u32>,
     servers: u32,
+    /// Shards without a server.
+    lacking: Vec<usize>,
+    /// Picks that were not given back.
+    picks: usize,
     dispatched_at: Option<Tick>,
 }
 
 impl Model {
     fn new(budget: u32, servers: u32) -> Self {
-        Self { budget, spent: 0, requests: IndexMap::new(), servers, dispatched_at: Some(ms(0)) }
+        Self {
+            budget,
+            spent: 0,
+            requests: IndexMap::new(),
+            servers,
+            lacking: Vec::new(),
+            picks: 0,
+            dispatched_at: Some(ms(0)),
+        }
     }
 }
 
 impl ScatterContext for Model {
     fn pick_server(&mut self, pool: PoolKey, avoid: &[ServerKey], _: Tick) -> Option<ServerKey> {
+        if self.lacking.contains(&pool.index()) {
+            return None;
+        }
         let key = |n| ServerKey::new(pool.index() as u32 * 100 + n, 0);
-        (0..self.servers).map(key).find(|k| !avoid.contains(k))
+        let picked = (0..self.servers).map(key).find(|k| !avoid.contains(k));
+        self.picks += usize::from(picked.is_some());
+        picked
+    }
+
+    fn cancel_pick(&mut self, _: ServerKey) {
+        self.picks -= 1;
     }
 
     fn record_request(&mut self, pool: PoolKey, _: Tick) {
@@ -97,6 +118,8 @@
     shards: u32,
     budget: u32,
     change: fn(&mut ScatterOptions),
+    /// Shards without a server.
+    lacking: &'static [usize],
     /// When the first sends are dispatched, in milliseconds.
     dispatched: Option<u64>,
     events: &'static [(u64, Event)],
@@ -114,6 +137,7 @@
     shards: 4,
     budget: 9,
     change: |_| {},
+    lacking: &[],
     dispatched: Some(0),
     events: &[],
     sends: &[1, 1, 1, 1],
@@ -122,6 +146,19 @@
 
 const CASES: &[Case] = &[
     Case { name: "sent to one server of each", ..BASE },
+    Case {
+        name: "a shard without a server is left out",
+        lacking: &[1],
+        sends: &[1, 0, 1, 1],
+        ..BASE
+    },
+    Case {
+        name: "nothing is sent if too few shards have a server",
+        lacking: &[1, 3],
+        sends: &[0, 0, 0, 0],
+        verdict: Decision::GiveUp { ran: false },
+        ..BASE
+    },
     Case {
         name: "all shards answered",
         events: &[
@@ -344,7 +381,11 @@
 ];
 
 fn play(case: &Case) -> (Scatter, Vec<ShardSend>, u64) {
-    let mut model = Model { dispatched_at: case.dispatched.map(ms), ..Model::new(case.budget, 2) };
+    let mut model = Model {
+        dispatched_at: case.dispatched.map(ms),
+        lacking: case.lacking.to_vec(),
+        ..Model::new(case.budget, 2)
+    };
     let mut opts = options(case.shards);
     (case.change)(&mut opts);
     let (mut scatter, mut sends) = Scatter::start(opts, &mut model, ms(0));
@@ -362,6 +403,7 @@
             }
         }
     }
+    assert_eq!(model.picks, sends.len(), "{}: picks that are not sent are given back", case.name);
     (scatter, sends, last)
 }
 
@@ -387,7 +429,9 @@
     let budget = rng.random_range(0..10);
     let opts = ScatterOptions { max_attempts, idempotent, min_shard_ratio, ..options(shards) };
     let mut model = Model::new(budget, rng.random_range(0..4));
+    model.lacking = (0..shards as usize).filter(|_| rng.random_bool(0.1)).collect();
     let (mut scatter, sends) = Scatter::start(opts, &mut model, ms(0));
+    assert_eq!(model.picks, sends.len(), "picks that are not sent are given back");
     let mut in_flight = sends.clone();
     let mut arrived = vec![0; shards as usize];
     let mut in_shards = vec![false; shards as usize];
