A probe of a failure domain that is not sent does not count as failed

Seen by reading the cancelled picks: a pick that is taken back (no extra send in the retry budget; a request that its first choice leaves out of reach) held the one probe of an unresponsive domain, and its drop recorded a failed probe: the wait before the next one doubled, up to 3 s, though the domain was not asked (class: a state that ends by drop takes every end for a failure). Change: cancelling a pick gives the probe back, so that the next request is the probe. Failed before: tests/outlier.rs, "not sent: the next request is the probe" with the end that the drop recorded (no request may be sent at 1,300 ms; now one may). A send that is refused its permit after the choice still ends its probe as failed: not changed, not shown.

--- a/src/coordination/domain_health.rs
+++ b/src/coordination/domain_health.rs
@@ -86,6 +86,11 @@
         self.outlier.end_or_fail_probe(probe, now);
     }
 
+    /// Records that a probe was not sent.
+    pub fn cancel_probe(&mut self, probe: Probe) {
+        self.outlier.cancel_probe(probe);
+    }
+
     /// Returns whether the domain is unresponsive.
     pub fn is_unresponsive(&self) -> bool {
         self.outlier.is_ejected()
--- a/src/coordination/outlier.rs
+++ b/src/coordination/outlier.rs
@@ -69,6 +69,13 @@
         }
     }
 
+    /// Records that a probe was not sent; the next request is one.
+    pub fn cancel_probe(&mut self, probe: Probe) {
+        if self.is_in_flight(&probe) {
+            self.record_neutral();
+        }
+    }
+
     /// Returns whether a probe has had no result yet.
     fn is_in_flight(&self, probe: &Probe) -> bool {
         self.probe == Some(probe.number)
--- a/src/transport/upstreams/context.rs
+++ b/src/transport/upstreams/context.rs
@@ -192,7 +192,8 @@
     }
 
     fn cancel_pick(&mut self, server: ServerKey) {
-        drop(self.take_pick(server));
+        let probe = self.take_pick(server).and_then(|pick| pick.domain_probe);
+        probe.into_iter().for_each(DomainProbe::cancel);
     }
 
     fn record_request(&mut self, pool: PoolKey, now: Tick) {
--- a/src/transport/upstreams/send.rs
+++ b/src/transport/upstreams/send.rs
@@ -188,6 +188,13 @@
         let probe = tier.with_domain(domain, |d| d.record_send())?;
         Some(Self { tier: tier.clone(), domain: domain.to_owned(), probe: Some(probe) })
     }
+
+    /// Gives the probe back, since its request is not sent.
+    pub(crate) fn cancel(mut self) {
+        if let Some(probe) = self.probe.take() {
+            self.tier.with_domain(&self.domain, |d| d.cancel_probe(probe));
+        }
+    }
 }
 
 /// What is reserved for a send to a server when it is picked.
--- a/tests/outlier.rs
+++ b/tests/outlier.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use support::ms;
-use tamarackdeck::{DomainHealth, Sent, ServerStats};
+use tamarackdeck::{DomainHealth, Probe, Sent, ServerStats, Tick};
 
 /// How the probe of an ejected server ends.
 #[derive(Clone, Copy)]
@@ -135,6 +135,8 @@
     name: &'static str,
     /// What is recorded while the probe is in flight, at 1200 ms.
     result: fn(&mut DomainHealth),
+    /// How the probe ends.
+    end: fn(&mut DomainHealth, Probe, Tick),
     /// Whether requests may be sent then, in milliseconds; the probe ends at 1300 ms.
     can_send: &'static [(u64, bool)],
 }
@@ -146,16 +148,33 @@
         result: |d| {
             d.record_answer();
         },
+        end: DomainHealth::end_probe,
+        can_send: &[(1_300, true)],
+    },
+    DomainCase {
+        name: "not sent: the next request is the probe",
+        result: |_| {},
+        end: |domain, probe, _| domain.cancel_probe(probe),
+        can_send: &[(1_300, true)],
+    },
+    DomainCase {
+        name: "an answer, then not sent",
+        result: |d| {
+            d.record_answer();
+        },
+        end: |domain, probe, _| domain.cancel_probe(probe),
         can_send: &[(1_300, true)],
     },
     DomainCase {
         name: "no answer: the next wait is longer",
         result: |_| {},
+        end: DomainHealth::end_probe,
         can_send: &[(1_300, false), (1_699, false), (1_700, true)],
     },
     DomainCase {
         name: "timed out",
         result: |d| d.record_unanswered(ms(1_250)),
+        end: DomainHealth::end_probe,
         can_send: &[(1_300, false), (1_699, false), (1_700, true)],
     },
 ];
@@ -172,7 +191,7 @@
             assert!(!domain.can_send(ms(9_000)), "{}: one probe at a time", case.name);
             assert!(domain.record_send().is_none(), "{}: one probe at a time", case.name);
             (case.result)(&mut domain);
-            domain.end_probe(probe, ms(1_300));
+            (case.end)(&mut domain, probe, ms(1_300));
             if domain.can_send(ms(*at)) != *expected {
                 failures.push(format!("{}: after {at} ms not {expected}", case.name));
             }
