--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -16,7 +16,7 @@
 
 /// Header of each reply that states the era of the store: a number that rises each time it comes back from an older copy.
 pub const ERA_HEADER: &str = "store-era";
-/// Header of each reply of a store that came back from an older copy: the time since then, in milliseconds.
+/// Header of each reply of a store that came back from an older copy: the time since it answers again, in milliseconds.
 pub const RESTORED_HEADER: &str = "store-restored-ms";
 
 /// Returns the era that the headers of a reply state; `None` if they state none.
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -259,15 +259,17 @@
     fn push(&mut self, mut data: &[u8]) -> usize {
         let mut allocated = 0;
         while !data.is_empty() {
-            let room = self.0.last().map_or(0, |last| SEGMENT_BYTES - last.len());
-            if room == 0 {
-                self.0.push(BytesMut::with_capacity(SEGMENT_BYTES));
-                allocated += SEGMENT_BYTES;
-                continue;
+            match self.0.last_mut().filter(|last| last.len() < SEGMENT_BYTES) {
+                Some(last) => {
+                    let (head, rest) = data.split_at(data.len().min(SEGMENT_BYTES - last.len()));
+                    last.extend_from_slice(head);
+                    data = rest;
+                }
+                None => {
+                    self.0.push(BytesMut::with_capacity(SEGMENT_BYTES));
+                    allocated += SEGMENT_BYTES;
+                }
             }
-            let (head, rest) = data.split_at(room.min(data.len()));
-            self.0.last_mut().unwrap().extend_from_slice(head);
-            data = rest;
         }
         allocated
     }
