--- a/src/coordination/once.rs
+++ b/src/coordination/once.rs
@@ -231,7 +231,7 @@
         }
     }
 
-    /// Returns the claims that were made before this era and are not known to be in it, with their keys.
+    /// Returns the claims that the platform is not known to have in this era, with their keys.
     pub fn lost(&mut self, era: u64, now: Tick) -> Vec<(String, Claim)> {
         self.drop_old(now);
         let lost = self.claims.iter().filter(|(_, recent)| recent.era < era);
@@ -244,15 +244,12 @@
     }
 
     fn drop_old(&mut self, now: Tick) {
-        let count = self.claims.values().take_while(|recent| {
-            let dropped =
-                now.since(recent.made_at) > CLAIM_MEMORY_TIME || self.bytes > MAX_REMEMBERED_BYTES;
-            if dropped {
-                self.bytes -= recent.bytes();
-            }
-            dropped
-        });
-        let count = count.count();
-        self.claims.drain(..count);
+        let is_old = |recent: &RecentClaim| now.since(recent.made_at) > CLAIM_MEMORY_TIME;
+        while let Some((_, oldest)) = self.claims.first()
+            && (is_old(oldest) || self.bytes > MAX_REMEMBERED_BYTES)
+        {
+            self.bytes -= oldest.bytes();
+            self.claims.shift_remove_index(0);
+        }
     }
 }
--- a/src/transport/store/http.rs
+++ b/src/transport/store/http.rs
@@ -85,7 +85,10 @@
 
 fn write_path(key: &str, expected: Expected) -> String {
     let path = format!("/v1/objects/{key}?if_version={}", expected.version);
-    expected.era.map_or(path.clone(), |era| format!("{path}&if_era={era}"))
+    match expected.era {
+        Some(era) => format!("{path}&if_era={era}"),
+        None => path,
+    }
 }
 
 fn parse_body<T: DeserializeOwned>(reply: &Reply) -> Result<T, PlatformError> {
