Tasks that end are started again, and an instance whose task fails is not ready

Cause: long-lived tasks were spawned and their handles dropped, on both interfaces.

Change: coordination/supervision.rs decides when an ended task is started again and when its instance stops reporting ready; transport/supervisor.rs runs every long-lived task of both interfaces so, listeners included.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -28,6 +28,7 @@
 pub(crate) mod sliding_window;
 pub(crate) mod snapshot;
 pub(crate) mod store_era;
+pub(crate) mod supervision;
 pub(crate) mod tickets;
 pub(crate) mod top_records;
 pub(crate) mod warming;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,6 +54,7 @@
 pub use coordination::sliding_window::SlidingWindow;
 pub use coordination::snapshot::choose_snapshot;
 pub use coordination::store_era::{ListUse, StoreCall, StorePoint, WatchCursor, WatchUse, doc_era};
+pub use coordination::supervision::{Ended, Running, SupervisionOptions, Task};
 pub use coordination::tickets::{
     Accepted, Change, Checked, Draft, Head, MAX_CONFIG_BYTES, is_newer,
 };
@@ -116,6 +117,7 @@
 pub use transport::settings::{Command, LogFormat, Settings};
 pub use transport::store::http::HttpPlatform;
 pub use transport::store::memory::MemoryPlatform;
+pub use transport::supervisor::Supervisor;
 pub use transport::upstreams::probe::run as run_probes;
 pub use transport::upstreams::tier::{Tier, TierOptions};
 pub use transport::upstreams::warm::run as run_warming;
--- a/src/transport/callers/frontend.rs
+++ b/src/transport/callers/frontend.rs
@@ -19,6 +19,7 @@
 use crate::coordination::lifecycle::{InFlight, Instance, Leaving, Starting};
 use crate::state::time::Tick;
 use crate::transport::http::{AbortOnDrop, FullResponse};
+use crate::transport::supervisor::Supervisor;
 use crate::transport::upstreams::connection_pool::set_socket_options;
 use crate::transport::upstreams::tier::Tier;
 
@@ -55,14 +56,16 @@
 /// The instance first reports not ready but goes on accepting connections for the notice period; then
 /// it closes the listener and waits for the requests in flight.
 pub async fn serve(
-    tier: Arc<Tier>,
+    supervisor: &Supervisor,
     listener: TcpListener,
     handler: Arc<impl Handler>,
     stop: CancellationToken,
 ) {
+    let tier = supervisor.tier();
     let instance = Instance::<Starting>::default().serve();
     let (closing, tasks) = (CancellationToken::new(), TaskTracker::new());
-    let _lag_sampler = AbortOnDrop(tokio::spawn(sample_lag(tier.clone())));
+    let sampled = tier.clone();
+    let _lag_sampler = AbortOnDrop(supervisor.spawn("lag", move || sample_lag(sampled.clone())));
     let accepting = accept_connections(&tier, &listener, &handler, &closing, &tasks);
     tokio::select! {
         () = accepting => {}
@@ -163,10 +166,10 @@
     }
 }
 
-/// Adds `connection: close` while this instance is leaving or cannot serve, so that the caller opens
-/// its next connection to another instance.
+/// Adds `connection: close` while this instance is leaving, cannot serve or has failing tasks, so that the caller opens its
+/// next connection to another instance.
 fn close_if_not_ready(tier: &Tier, mut res: FullResponse) -> FullResponse {
-    if tier.is_leaving() || !tier.can_serve() {
+    if tier.is_leaving() || !tier.can_serve() || tier.has_failing_tasks() {
         res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     res
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -80,12 +80,12 @@
 }
 
 /// Serves HTTP until `stop` is cancelled, then finishes the requests in flight.
-pub async fn serve<F, R>(listener: TcpListener, stop: CancellationToken, handler: F)
+pub async fn serve<F, R>(listener: impl Into<Arc<TcpListener>>, stop: CancellationToken, handler: F)
 where
     F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
     R: Future<Output = FullResponse> + Send + 'static,
 {
-    let handler = Arc::new(handler);
+    let (listener, handler) = (listener.into(), Arc::new(handler));
     let tasks = TaskTracker::new();
     loop {
         let stream = tokio::select! {
--- a/src/transport/metrics.rs
+++ b/src/transport/metrics.rs
@@ -22,6 +22,7 @@
     pub(crate) connections: IntCounterVec,
     pub(crate) notices: IntCounterVec,
     pub(crate) platform_calls: IntCounterVec,
+    pub(crate) task_ends: IntCounterVec,
     pub(crate) link_bytes: IntGauge,
     pub(crate) config_version: IntGauge,
     pub(crate) requests_in_flight: IntGauge,
@@ -98,6 +99,11 @@
                 "calls to the platform",
                 "call",
             ),
+            task_ends: builder.counters(
+                &prefixed("task_ends_total"),
+                "tasks of the instance that ended and were started again",
+                "task",
+            ),
             link_bytes: builder
                 .gauge(&prefixed("link_bytes"), "bytes sent to peers since the start"),
             config_version: builder
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -13,4 +13,5 @@
 pub(crate) mod process;
 pub(crate) mod settings;
 pub(crate) mod store;
+pub(crate) mod supervisor;
 pub(crate) mod upstreams;
--- a/src/transport/peers/heartbeats.rs
+++ b/src/transport/peers/heartbeats.rs
@@ -36,7 +36,7 @@
 /// that the next in rank notices when the platform watcher fails. One random other gets one too.
 const RANKED_LOCAL_TARGETS: usize = 2;
 
-/// Sends heartbeats, and fetches documents that peers show to be newer, until the task is aborted.
+/// Sends heartbeats, and fetches documents that peers show to be newer, until the task is aborted or the fetches end.
 pub async fn run(peers: Arc<Peers>) {
     let mut fetching = JoinSet::new(); // aborts the task when dropped
     fetching.spawn(fetch_offered_docs(peers.clone()));
@@ -53,7 +53,11 @@
         round += 1;
         let jitter = rand::rng().random_range(0.9..1.1);
         let interval = if peers.awaits_contact() { NEWCOMER_INTERVAL } else { HEARTBEAT_INTERVAL };
-        tokio::time::sleep(interval.mul_f64(jitter).saturating_sub(started.elapsed())).await;
+        let pause = interval.mul_f64(jitter).saturating_sub(started.elapsed());
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            _ = fetching.join_next() => return,
+        }
     }
 }
 
--- a/src/transport/peers/server.rs
+++ b/src/transport/peers/server.rs
@@ -28,7 +28,12 @@
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Serves peers until `stop` is cancelled.
-pub async fn serve(peers: Arc<Peers>, listener: TcpListener, stop: CancellationToken) {
+pub async fn serve(
+    peers: Arc<Peers>,
+    listener: impl Into<Arc<TcpListener>>,
+    stop: CancellationToken,
+) {
+    let listener = listener.into();
     let tasks = TaskTracker::new();
     loop {
         let accepted = tokio::select! {
--- a/src/transport/process/daemon.rs
+++ b/src/transport/process/daemon.rs
@@ -7,8 +7,10 @@
 use anyhow::{Context, Result};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+use crate::coordination::supervision::SupervisionOptions;
 use crate::protocol::platform::{InstanceState, ListedInstance, Platform};
 use crate::state::members::{InstanceId, Member};
 use crate::transport::callers::api::ApiHandler;
@@ -21,6 +23,7 @@
 use crate::transport::store::http::HttpPlatform;
 use crate::transport::store::memory::MemoryPlatform;
 use crate::transport::store::watches;
+use crate::transport::supervisor::Supervisor;
 use crate::transport::upstreams::probe;
 
 /// Time limit for the listeners to finish once the instance has stopped.
@@ -68,17 +71,10 @@
         operators.local_addr()?
     );
     let (stop, stop_listeners) = (CancellationToken::new(), CancellationToken::new());
-    let listeners = [
-        tokio::spawn(serve_operators(node.clone(), operators, stop_listeners.clone())),
-        tokio::spawn(server::serve(node.peers.clone(), peers, stop_listeners.clone())),
-    ];
-    let background_tasks = [
-        tokio::spawn(heartbeats::run(node.peers.clone())),
-        tokio::spawn(watches::watch_head(node.clone())),
-        tokio::spawn(watches::poll_instances(node.clone())),
-        tokio::spawn(once::rewrite_lost_claims(node.clone())),
-        tokio::spawn(probe::run(node.tier.clone())),
-    ];
+    let supervisor =
+        Supervisor::new(node.tier.clone(), SupervisionOptions::default(), stop_listeners.clone());
+    let listeners = start_listeners(&node, &supervisor, operators, peers, &stop_listeners);
+    let background_tasks = start_background_tasks(&node, &supervisor);
     let stop_requested = stop.clone();
     tokio::spawn(async move {
         if let Err(e) = wait_stop_signal().await {
@@ -86,7 +82,7 @@
         }
         stop_requested.cancel();
     });
-    frontend::serve(node.tier.clone(), callers, Arc::new(ApiHandler(node.clone())), stop).await;
+    frontend::serve(&supervisor, callers, Arc::new(ApiHandler(node.clone())), stop).await;
     heartbeats::announce_departure(&node.peers).await;
     background_tasks.iter().for_each(|t| t.abort());
     stop_listeners.cancel();
@@ -99,6 +95,38 @@
     Ok(())
 }
 
+fn start_listeners(
+    node: &Arc<Node>,
+    supervisor: &Supervisor,
+    operators: TcpListener,
+    peers: TcpListener,
+    stop: &CancellationToken,
+) -> [JoinHandle<()>; 2] {
+    let (operators, peers) = (Arc::new(operators), Arc::new(peers));
+    let (operators_node, operators_stop) = (node.clone(), stop.clone());
+    let (linked, peers_stop) = (node.peers.clone(), stop.clone());
+    [
+        supervisor.spawn("operators", move || {
+            serve_operators(operators_node.clone(), operators.clone(), operators_stop.clone())
+        }),
+        supervisor.spawn("peers", move || {
+            server::serve(linked.clone(), peers.clone(), peers_stop.clone())
+        }),
+    ]
+}
+
+fn start_background_tasks(node: &Arc<Node>, supervisor: &Supervisor) -> [JoinHandle<()>; 5] {
+    let (peers, tier) = (node.peers.clone(), node.tier.clone());
+    let [head, instances, claims] = [node, node, node].map(Arc::clone);
+    [
+        supervisor.spawn("heartbeats", move || heartbeats::run(peers.clone())),
+        supervisor.spawn("head", move || watches::watch_head(head.clone())),
+        supervisor.spawn("instances", move || watches::poll_instances(instances.clone())),
+        supervisor.spawn("claims", move || once::rewrite_lost_claims(claims.clone())),
+        supervisor.spawn("probes", move || probe::run(tier.clone())),
+    ]
+}
+
 /// Aborts the process on a panic, so that a test cannot miss a violated invariant.
 fn abort_on_panic() {
     let hook = std::panic::take_hook();
@@ -108,7 +136,7 @@
     }));
 }
 
-async fn serve_operators(node: Arc<Node>, listener: TcpListener, stop: CancellationToken) {
+async fn serve_operators(node: Arc<Node>, listener: Arc<TcpListener>, stop: CancellationToken) {
     http::serve(listener, stop, move |req| listener::handle(node.clone(), req)).await;
 }
 
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -191,6 +191,8 @@
     instances: AtomicUsize,
     leaving: AtomicBool,
     can_serve: AtomicBool,
+    /// Number of tasks that end again and again.
+    failing_tasks: AtomicUsize,
     requests_in_flight: AtomicUsize,
     gathers_in_flight: AtomicUsize,
     role: Mutex<Role>,
@@ -224,6 +226,7 @@
             view: RwLock::default(),
             leaving: AtomicBool::new(false),
             can_serve: AtomicBool::new(true),
+            failing_tasks: AtomicUsize::new(0),
             requests_in_flight: AtomicUsize::new(0),
             gathers_in_flight: AtomicUsize::new(0),
             role: Mutex::default(),
@@ -243,6 +246,10 @@
         self.clock.now()
     }
 
+    pub(crate) fn clock(&self) -> Clock {
+        self.clock
+    }
+
     /// Returns the current routes and servers.
     pub fn view(&self) -> Arc<TopologyView> {
         self.view.read().clone()
@@ -284,10 +291,27 @@
         }
     }
 
-    /// Returns whether this instance accepts requests: it has routes, reaches enough servers and is not
-    /// leaving.
+    /// Returns whether this instance accepts requests: it has routes, reaches enough servers, keeps its tasks running and is
+    /// not leaving.
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.can_serve() && self.view.read().route_table.is_some()
+        !self.is_leaving()
+            && self.can_serve()
+            && !self.has_failing_tasks()
+            && self.view.read().route_table.is_some()
+    }
+
+    /// Returns whether a task of this instance ends again and again, so that what the instance knows may be old.
+    pub fn has_failing_tasks(&self) -> bool {
+        self.failing_tasks.load(Ordering::Relaxed) > 0
+    }
+
+    /// Records that a task has begun to fail, or that it runs again.
+    pub(crate) fn record_failing_task(&self, is_failing: bool) {
+        if is_failing {
+            self.failing_tasks.fetch_add(1, Ordering::Relaxed);
+        } else {
+            self.failing_tasks.fetch_sub(1, Ordering::Relaxed);
+        }
     }
 
     /// Returns whether this instance reaches enough servers to answer.
