A duration that no tick holds counts as the longest

A warm-up of 1.8e19 ms is a duration, but its microseconds were cut to 64 bits when added to the time, so that a server was cold until a time that has nothing to do with its entry, and not cold at all in some cases.

Change: adding to and subtracting from a tick saturates.

--- a/src/state/time.rs
+++ b/src/state/time.rs
@@ -22,7 +22,7 @@
     type Output = Tick;
 
     fn add(self, d: Duration) -> Tick {
-        Tick(self.0.saturating_add(d.as_micros() as u64))
+        Tick(self.0.saturating_add(saturating_micros(d)))
     }
 }
 
@@ -30,6 +30,11 @@
     type Output = Tick;
 
     fn sub(self, d: Duration) -> Tick {
-        Tick(self.0.saturating_sub(d.as_micros() as u64))
+        Tick(self.0.saturating_sub(saturating_micros(d)))
     }
 }
+
+/// Returns a duration in microseconds; one that no tick holds is as long as the longest.
+fn saturating_micros(d: Duration) -> u64 {
+    u64::try_from(d.as_micros()).unwrap_or(u64::MAX)
+}
