The slots of all servers are counted in 64 bits

Change: the sum is a function of coordination/return_times.rs, in 64 bits.

Before: by reading; the sum stood within the transport's code, where no test reached it. After: the table of the new test passes, with two entries of 2^32 - 1 slots.

--- a/src/coordination/return_times.rs
+++ b/src/coordination/return_times.rs
@@ -25,7 +25,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ServiceShare {
     /// Maximum concurrent requests of the service's servers together.
-    pub slots: u32,
+    pub slots: u64,
     /// Usual answer time.
     pub usual: Duration,
     /// Number of instances that send to the service.
@@ -35,10 +35,14 @@
 }
 
 impl ServiceShare {
+    /// Returns the slots of servers together; an entry may state any number of them.
+    pub fn total_slots(slots: impl Iterator<Item = u32>) -> u64 {
+        slots.map(u64::from).fold(0, u64::saturating_add)
+    }
+
     /// Returns the time between two requests at the highest rate that the share can take.
     fn interval(self) -> Duration {
-        let by_slots =
-            self.usual.mul_f64(self.instances.max(1) as f64 / f64::from(self.slots.max(1)));
+        let by_slots = self.usual.mul_f64(self.instances.max(1) as f64 / self.slots.max(1) as f64);
         let by_rate = self.limited_rate.map(f64::recip).map(Duration::try_from_secs_f64);
         by_rate.map_or(by_slots, |interval| by_slots.max(interval.unwrap_or(Duration::MAX)))
     }
--- a/src/transport/upstreams/run.rs
+++ b/src/transport/upstreams/run.rs
@@ -190,7 +190,9 @@
         let free_at = return_from(free_at, asked_until, now);
         let servers = pools.first().map(|pool| self.context.view.available_servers(*pool));
         let share = ServiceShare {
-            slots: servers.into_iter().flatten().map(|(_, server)| server.report.slots).sum(),
+            slots: ServiceShare::total_slots(
+                servers.into_iter().flatten().map(|(_, server)| server.report.slots),
+            ),
             usual: self.request.times.usual,
             instances: self.tier.instances(),
             limited_rate: self.tier.limited_rate(pools, min_shard_ratio, self.context.view),
--- a/tests/server_notices.rs
+++ b/tests/server_notices.rs
@@ -636,3 +636,23 @@
         assert_eq!(wraps, case.wraps, "{}: who was turned away first returns first", case.name);
     }
 }
+
+struct SlotsCase {
+    slots: &'static [u32],
+    total: u64,
+}
+
+const SLOTS: &[SlotsCase] = &[
+    SlotsCase { slots: &[], total: 0 },
+    SlotsCase { slots: &[2, 3], total: 5 },
+    SlotsCase { slots: &[u32::MAX, u32::MAX, 2], total: 8_589_934_592 },
+];
+
+/// Guards against a request that ends by an overflow because entries state more slots than a number of 32 bits holds.
+#[test]
+fn the_slots_of_all_servers_are_counted_whatever_their_entries_state() {
+    for case in SLOTS {
+        let total = ServiceShare::total_slots(case.slots.iter().copied());
+        assert_eq!(total, case.total, "{:?}", case.slots);
+    }
+}
