--- a/src/state/entry_cache.rs
+++ b/src/state/entry_cache.rs
@@ -123,4 +123,19 @@
     pub fn has_pending(&self) -> bool {
         !self.pending.is_empty()
     }
+
+    /// Returns the number of entries whose change is pending.
+    pub fn pending_count(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Returns the number of entries, those with a pending change included.
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    /// Returns whether there is no entry.
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
 }
