Who passes documents on states what is left of its grace period

Callers would see: after an outage of the store, live servers are not used for up to two seconds in a failure domain that learns of the return from another one.

Cause: since documents hold what the store holds, entries that lapsed are missing from them; pushes state the grace period, but fetches did not, and an instance whose own store calls still fail fetches from other domains at each heartbeat.

Change: the answer to a fetch carries it too (NewerDocs). It is what is left of the sender's, so that no chain of instances makes it longer.

Before: entries_that_lapse_in_an_outage_are_kept_where_others_tell_of_them_first fails without the record of the period ('instance 2 drops it after PassOn(0, 2)').

--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -84,6 +84,16 @@
 /// Changes of documents by topic.
 pub type DocDeltas = IndexMap<String, DocDelta>;
 
+/// Documents that an instance holds and another one lacks.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NewerDocs {
+    /// Documents by topic.
+    pub docs: IndexMap<String, Encoded<Doc>>,
+    /// What is left of the sender's grace period for entries that they lack.
+    pub grace: Duration,
+}
+
 /// Remote procedure calls between instances.
 #[tarpc::service]
 pub trait Peer {
@@ -92,7 +102,7 @@
     /// Exchanges heartbeats.
     async fn beat(beat: Heartbeat) -> Heartbeat;
     /// Returns the documents that are newer than the versions in `have`.
-    async fn docs(have: IndexMap<String, u64>) -> IndexMap<String, Encoded<Doc>>;
+    async fn docs(have: IndexMap<String, u64>) -> NewerDocs;
     /// Applies deltas of documents held by the instance whose peer listener is `from`; `grace` is what is left of its
     /// grace period for entries that they remove.
     async fn push(from: SocketAddr, changes: Encoded<DocDeltas>, grace: Duration);
--- a/src/transport/peers/heartbeats.rs
+++ b/src/transport/peers/heartbeats.rs
@@ -15,7 +15,7 @@
 use crate::coordination::doc_fetch::{FetchStep, SLOW_FETCH};
 use crate::protocol::encoded::Encoded;
 use crate::protocol::frames::FrameError;
-use crate::protocol::peer::{DocDeltas, Heartbeat};
+use crate::protocol::peer::{DocDeltas, Heartbeat, NewerDocs};
 use crate::state::docs::{Doc, DocDelta};
 use crate::state::members::Member;
 use crate::transport::peers::Peers;
@@ -136,7 +136,8 @@
 
 async fn fetch_docs(peers: &Arc<Peers>, addr: SocketAddr) {
     let Ok(link) = peers.link(addr).await else { return };
-    if let Ok(docs) = link.client.docs(context_with_timeout(DOCS_TIMEOUT), peers.versions()).await {
+    let cx = context_with_timeout(DOCS_TIMEOUT);
+    if let Ok(NewerDocs { docs, grace }) = link.client.docs(cx, peers.versions()).await {
         let decode = |(topic, doc): (String, Encoded<Doc>)| Ok((topic, Arc::new(doc.decode()?)));
         let decoded: Result<IndexMap<_, _>, FrameError> = docs.into_iter().map(decode).collect();
         let docs = match decoded {
@@ -146,6 +147,7 @@
         let bytes: usize = docs.values().map(|doc| doc.bytes()).sum();
         let peer = addr.to_string();
         log::info!(peer = peer.as_str(), topics = docs.len(), bytes; "documents fetched");
+        peers.record_peer_grace(grace);
         let deltas = peers.apply_docs(docs);
         let is_remote =
             !peers.members().iter().any(|m| m.addr == addr && m.domain == peers.opts.me.domain);
--- a/src/transport/peers/server.rs
+++ b/src/transport/peers/server.rs
@@ -19,8 +19,7 @@
 use crate::protocol::encoded::Encoded;
 use crate::protocol::frames::{FrameTransport, decode_batch, encode_batch};
 use crate::protocol::gather::{GatherRequest, GatherResult};
-use crate::protocol::peer::{DocDeltas, Heartbeat, Hello, HelloReply, Peer};
-use crate::state::docs::Doc;
+use crate::protocol::peer::{DocDeltas, Heartbeat, Hello, HelloReply, NewerDocs, Peer};
 use crate::state::time::Tick;
 use crate::transport::peers::{Peers, heartbeats, links};
 
@@ -114,13 +113,10 @@
         heartbeats::handle_heartbeat(&self.peers, &heartbeat)
     }
 
-    async fn docs(
-        self,
-        _: context::Context,
-        have: IndexMap<String, u64>,
-    ) -> IndexMap<String, Encoded<Doc>> {
+    async fn docs(self, _: context::Context, have: IndexMap<String, u64>) -> NewerDocs {
         self.block_if_cut_off().await;
-        self.peers.docs_newer_than(&have)
+        let grace = self.peers.grace().left(self.peers.now());
+        NewerDocs { docs: self.peers.docs_newer_than(&have), grace }
     }
 
     async fn push(
--- a/tests/store_views.rs
+++ b/tests/store_views.rs
@@ -201,6 +201,8 @@
                 }
             }
             Step::PassOn(from, to) => {
+                let left = self.instances[from].grace.left(self.now);
+                self.instances[to].grace.record_peer(left, self.now);
                 let doc = self.instances[from].docs.get(TOPIC);
                 self.apply(to, doc)?;
             }
@@ -543,6 +545,26 @@
     }
 }
 
+/// Guards against live servers that are dropped for a moment, since a document of another domain reaches an instance before
+/// it hears itself that the store is back.
+#[test]
+fn entries_that_lapse_in_an_outage_are_kept_where_others_tell_of_them_first() {
+    let mut world = World::new(&[0, 0, 1]);
+    world.settle().unwrap();
+    for step in [Step::Cut(0), Step::Cut(2), Step::Call(0), Step::Call(2), Step::Remove(0)] {
+        world.play(step).unwrap();
+    }
+    // the first domain hears first that the store is back, and the other one learns from it
+    for step in [Step::Heal(0), Step::Call(0), Step::PassOn(0, 2), Step::Heal(2)] {
+        world.play(step).unwrap();
+        for (i, instance) in world.instances.iter().enumerate() {
+            let is_kept = instance.believed().contains_key(NAMES[0]);
+            assert!(is_kept, "instance {i} drops it after {step:?}");
+        }
+    }
+    world.settle().unwrap();
+}
+
 impl World {
     /// Plays a step that takes no time.
     fn play_in_place(&mut self, step: Step) -> Result<(), String> {
