Replays of differing views: old lists, and lists whose pages are of several points

Cause: the replay listed the newest state only, and no test held the rule for pages of several points.

Change: the first list of an instance may be of an earlier point of the era; a table of five lists and what of them may be published.

--- a/tests/store_views.rs
+++ b/tests/store_views.rs
@@ -221,7 +221,7 @@
 
     /// Makes one call of an instance to the store, as the watcher of a kind does.
     fn call(&mut self, i: usize) -> Result<(), String> {
-        let Self { store, now, .. } = self;
+        let Self { store, copy, now, .. } = self;
         let instance = &mut self.instances[i];
         if !instance.is_watcher {
             return Ok(());
@@ -257,12 +257,15 @@
                     return Ok(());
                 }
             }
-            StoreCall::List { .. } => {
+            StoreCall::List { stale } => {
                 if let Some(doc) = instance.docs.get(TOPIC) {
                     mirror.record_peer_version(doc.version);
                 }
-                let list =
-                    StoreList { era, revision, last_revision: revision, entries: store.entries() };
+                // an old list is of an earlier point of the same era
+                let is_old = stale && copy.era == store.era;
+                let listed: &Store = if is_old { copy } else { store };
+                let (revision, entries) = (listed.revision, listed.entries());
+                let list = StoreList { era, revision, last_revision: revision, entries };
                 if mirror.record_list(list) == ListUse::Outdated {
                     return Ok(());
                 }
@@ -545,6 +548,63 @@
     }
 }
 
+struct PagesCase {
+    name: &'static str,
+    /// Revisions of the first and the last page of a list.
+    pages: (u64, u64),
+    /// Revisions that watches have reached since.
+    watched: &'static [u64],
+    /// Revision of the document that may be published.
+    published: Option<u64>,
+}
+
+const PAGES: &[PagesCase] = &[
+    PagesCase {
+        name: "all pages of one point",
+        pages: (70, 70),
+        watched: &[],
+        published: Some(70),
+    },
+    PagesCase { name: "changes between the pages", pages: (70, 73), watched: &[], published: None },
+    PagesCase {
+        name: "a watch that has not reached the last page",
+        pages: (70, 73),
+        watched: &[72],
+        published: None,
+    },
+    PagesCase {
+        name: "a watch that has reached the last page",
+        pages: (70, 73),
+        watched: &[72, 73],
+        published: Some(73),
+    },
+    PagesCase {
+        name: "a watch that is beyond the last page",
+        pages: (70, 73),
+        watched: &[80],
+        published: Some(80),
+    },
+];
+
+/// Guards against a document that has entries of several points of the store, and so differs from that of another instance.
+#[test]
+fn a_list_of_several_points_is_published_once_it_is_of_one() {
+    for case in PAGES {
+        let mut mirror = StoreMirror::<Bytes>::default();
+        let (revision, last_revision) = case.pages;
+        let entries = IndexMap::new();
+        mirror.record_list(StoreList { era: Some(1), revision, last_revision, entries });
+        for revision in case.watched {
+            let changes = Vec::new();
+            mirror.record_watch(StoreChanges { era: Some(1), revision: *revision, changes });
+        }
+        let published = mirror.published().map(|(point, _)| point.revision);
+        assert_eq!(published, case.published, "{}", case.name);
+        mirror.stop();
+        assert!(mirror.published().is_none(), "{}: another instance watches", case.name);
+    }
+}
+
 /// Guards against live servers that are dropped for a moment, since a document of another domain reaches an instance before
 /// it hears itself that the store is back.
 #[test]
