How a document is taken into what is believed is decided in coordination

Cause: the choice between a first document, one of a new era and one after an absence stood in the adapter, and both tests replayed a copy of it.

Change: GracePeriods::believe decides; a kind says which of its changes a grace period holds back (HeldBack). No behaviour changes.

--- a/src/coordination/grace.rs
+++ b/src/coordination/grace.rs
@@ -6,13 +6,28 @@
 //! the one who keeps it still believes, for as long after the return as writers need, and a period that a peer
 //! states is never longer than what is left of the peer's own.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use crate::coordination::store_era::doc_era;
+use crate::state::beliefs::Beliefs;
+use crate::state::docs::Doc;
 use crate::state::time::Tick;
 
 /// Time that writers have to register again after the store's return.
 pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_000);
 
+/// Which changes of a kind of entries a grace period holds back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeldBack {
+    /// None: documents have versions that no restore of the store takes back.
+    Nothing,
+    /// Those that a restore of the store brings.
+    Restored,
+    /// These, and removals of entries that their writers could not renew.
+    RestoredAndLapsed,
+}
+
 /// The grace periods of an instance.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct GracePeriods {
@@ -41,16 +56,30 @@
         self.lapsed_until = self.lapsed_until.max(now + left.min(REREGISTRATION_GRACE));
     }
 
+    /// Takes a newer document into what is believed.
+    pub fn believe(&self, beliefs: &mut Beliefs, doc: Arc<Doc>, held_back: HeldBack, now: Tick) {
+        let known = beliefs.version();
+        match held_back {
+            HeldBack::Restored | HeldBack::RestoredAndLapsed
+                if known.is_some_and(|known| doc_era(known) < doc_era(doc.version)) =>
+            {
+                beliefs.apply_restored(doc, self.restored_until, now);
+            }
+            // nothing is known that could be kept
+            _ if known.is_none() => beliefs.apply(doc, Tick::default(), now),
+            HeldBack::Nothing => beliefs.apply(doc, Tick::default(), now),
+            HeldBack::Restored => beliefs.apply(doc, self.restored_until, now),
+            HeldBack::RestoredAndLapsed => {
+                beliefs.apply(doc, self.lapsed_until.max(self.restored_until), now)
+            }
+        }
+    }
+
     /// Returns what is left of the grace period for entries that lapse.
     pub fn left(&self, now: Tick) -> Duration {
         self.lapsed_until.since(now)
     }
 
-    /// Returns until when entries that are removed are kept.
-    pub fn lapsed_until(&self) -> Tick {
-        self.lapsed_until.max(self.restored_until)
-    }
-
     /// Returns until when entries are kept as they were before the store came back from an older copy.
     pub fn restored_until(&self) -> Tick {
         self.restored_until
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,7 +24,7 @@
     GatherContext, GatherRefusal, Spread, can_take, is_heavy, places, role, select_gatherers,
     shards_by_domain,
 };
-pub use coordination::grace::{GracePeriods, REREGISTRATION_GRACE};
+pub use coordination::grace::{GracePeriods, HeldBack, REREGISTRATION_GRACE};
 pub use coordination::lag::{Lag, SAMPLE_INTERVAL as LAG_SAMPLE_INTERVAL};
 pub use coordination::latency_histogram::LatencyHistogram;
 pub use coordination::lifecycle::{
--- a/src/state/beliefs.rs
+++ b/src/state/beliefs.rs
@@ -24,6 +24,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Beliefs {
     doc: Arc<Doc>,
+    has_doc: bool,
     kept: IndexMap<String, Kept>,
 }
 
@@ -32,6 +33,7 @@
     ///
     /// An entry that it changes takes effect at once, as it was written since.
     pub fn apply(&mut self, doc: Arc<Doc>, kept_until: Tick, now: Tick) {
+        self.has_doc = true;
         let previous = std::mem::replace(&mut self.doc, doc);
         let is_grace = now < kept_until;
         if !is_grace && self.kept.is_empty() {
@@ -57,7 +59,7 @@
     /// Whether an entry that differs is of the older copy or was written since is not known before its writer has had the
     /// time to write again.
     pub fn apply_restored(&mut self, doc: Arc<Doc>, kept_until: Tick, now: Tick) {
-        let believed = std::mem::replace(self, Self { doc, kept: IndexMap::new() });
+        let believed = std::mem::replace(self, Self { doc, has_doc: true, kept: IndexMap::new() });
         if now >= kept_until {
             return;
         }
@@ -103,9 +105,9 @@
         listed.chain(kept).map(|(name, entry)| (name.as_str(), entry))
     }
 
-    /// Returns the version of the document.
-    pub fn version(&self) -> u64 {
-        self.doc.version
+    /// Returns the version of the document; `None` before the first one.
+    pub fn version(&self) -> Option<u64> {
+        self.has_doc.then_some(self.doc.version)
     }
 
     /// Returns the number of entries that are kept as they were.
--- a/tests/news.rs
+++ b/tests/news.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 use support::ms;
 use tamarackdeck::{
-    Beliefs, Doc, DocStore, GracePeriods, InstanceId, Member, Members, StorePoint, doc_era,
+    Beliefs, Doc, DocStore, GracePeriods, HeldBack, InstanceId, Member, Members, StorePoint,
 };
 
 /// What one instance believes, with the document of its watcher and the grace periods that it knows.
@@ -29,11 +29,7 @@
         let point = StorePoint { era: self.era, revision: self.revision };
         let doc = Arc::new(Doc { version: point.doc_version(), entries: self.listed.clone() });
         self.grace.record_era(self.era, ms(at));
-        if doc_era(self.beliefs.version()) < self.era && self.revision > 1 {
-            self.beliefs.apply_restored(doc, self.grace.restored_until(), ms(at));
-        } else {
-            self.beliefs.apply(doc, self.grace.lapsed_until(), ms(at));
-        }
+        self.grace.believe(&mut self.beliefs, doc, HeldBack::RestoredAndLapsed, ms(at));
     }
 
     fn list(&mut self, entries: &[(&str, u32)], at: u64) {
--- a/tests/store_views.rs
+++ b/tests/store_views.rs
@@ -13,8 +13,8 @@
 use rand::{RngExt, SeedableRng};
 use support::{ms, seeds};
 use tamarackdeck::{
-    Beliefs, Doc, DocStore, GracePeriods, ListUse, REREGISTRATION_GRACE, StoreCall, StoreChanges,
-    StoreList, StoreMirror, Tick, WatchUse, doc_era,
+    Beliefs, Doc, DocStore, GracePeriods, HeldBack, ListUse, REREGISTRATION_GRACE, StoreCall,
+    StoreChanges, StoreList, StoreMirror, Tick, WatchUse, doc_era,
 };
 
 const TOPIC: &str = "servers";
@@ -66,7 +66,6 @@
     docs: DocStore,
     beliefs: Beliefs,
     grace: GracePeriods,
-    has_applied: bool,
     /// Values that it has dropped in this era.
     dropped: IndexSet<u64>,
 }
@@ -74,19 +73,8 @@
 impl Instance {
     fn new(domain: usize, is_watcher: bool) -> Self {
         let (mirror, docs, beliefs, grace, dropped) = Default::default();
-        let (is_cut, is_failing, has_applied) = (false, false, false);
-        Self {
-            domain,
-            is_cut,
-            is_failing,
-            is_watcher,
-            mirror,
-            docs,
-            beliefs,
-            grace,
-            has_applied,
-            dropped,
-        }
+        let (is_cut, is_failing) = (false, false);
+        Self { domain, is_cut, is_failing, is_watcher, mirror, docs, beliefs, grace, dropped }
     }
 
     fn believed(&self) -> IndexMap<String, u64> {
@@ -104,15 +92,12 @@
             && self.docs.update(TOPIC, doc.clone()).is_some()
         {
             let era = doc_era(doc.version);
+            let is_restored = self.beliefs.version().is_some_and(|known| doc_era(known) < era);
             self.grace.record_era(era, now);
-            if !std::mem::replace(&mut self.has_applied, true) {
-                self.beliefs.apply(doc, Tick::default(), now);
-            } else if doc_era(self.beliefs.version()) < era {
-                self.beliefs.apply_restored(doc, self.grace.restored_until(), now);
+            self.grace.believe(&mut self.beliefs, doc, HeldBack::RestoredAndLapsed, now);
+            if is_restored {
                 self.dropped.clear();
                 return Ok(());
-            } else {
-                self.beliefs.apply(doc, self.grace.lapsed_until(), now);
             }
         }
         self.beliefs.expire(now);
