--- a/review/standin-2/src/server.rs
+++ b/review/standin-2/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -34,13 +35,16 @@
     work: Duration,
     runs: Runs,
     record: Record,
+    leaving: Arc<AtomicBool>,
 }
 
 impl Server {
     pub fn start(id: &str, service: &str, work: Duration, runs: &Runs, record: &Record) -> Self {
         let (listener, addr) = listen();
         let (id, service) = (id.to_owned(), service.to_owned());
-        let server = Self { id, service, addr, work, runs: runs.clone(), record: record.clone() };
+        let leaving = Arc::default();
+        let server =
+            Self { id, service, addr, work, runs: runs.clone(), record: record.clone(), leaving };
         let serving = server.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -53,6 +57,11 @@
         server
     }
 
+    /// From now on the server says in all its answers that it leaves.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
     /// Returns the entry of the server in the store, at the address under which it is reached.
     pub fn entry(&self, zone: &str, state: &str) -> String {
         format!(
@@ -97,11 +106,14 @@
         ));
         thread::sleep(self.work);
         let stamp = format!("{}.{attempt}", self.id);
-        let headers = [
+        let mut headers = vec![
             ("X-Attempt-Id", attempt.as_str()),
             ("X-Server-Stamp", &stamp),
             ("X-Server-Load", "1,0,2"),
         ];
+        if self.leaving.load(Ordering::SeqCst) {
+            headers.push(("Server-Leaving", "1"));
+        }
         let body = format!("{:0<16}", self.service);
         let written = respond(out, 200, &headers, body.as_bytes());
         self.runs.lock().unwrap()[index].answered = Some(Instant::now());
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -11,15 +11,18 @@
 use crate::json::Json;
 use crate::listen;
 
+/// `historyS`: time for which changes can be watched.
+const HISTORY: Duration = Duration::from_secs(20);
+/// Size of a page of a list, in bytes, from which it ends.
+const PAGE_BYTES: usize = 1_000_000;
+
 #[derive(Default)]
 struct State {
     revision: u64,
     /// Objects by kind and name: revision and content.
     objects: BTreeMap<(String, String), (u64, String)>,
-    /// Changes in order: revision, kind, name, content or `None` for a deletion.
-    history: Vec<(u64, String, String, Option<String>)>,
-    /// When the last watch of each kind that may wait for seconds began.
-    watches: BTreeMap<String, Instant>,
+    /// Changes in order: time, revision, kind, name, content or `None` for a deletion.
+    history: Vec<(Instant, u64, String, String, Option<String>)>,
 }
 
 impl State {
@@ -37,7 +40,7 @@
                 self.objects.remove(&key);
             }
         }
-        self.history.push((self.revision, kind.to_owned(), name.to_owned(), spec));
+        self.history.push((Instant::now(), self.revision, kind.to_owned(), name.to_owned(), spec));
     }
 }
 
@@ -109,11 +112,6 @@
         self.state.1.notify_all();
     }
 
-    /// Returns how long ago the last watch of a kind began.
-    pub fn last_watch(&self, kind: &str) -> Option<Duration> {
-        self.state.0.lock().unwrap().watches.get(kind).map(Instant::elapsed)
-    }
-
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut out = stream.try_clone()?;
@@ -202,10 +200,16 @@
     fn list(&self, kind: &str, after: &str) -> (u16, String) {
         let state = self.state.0.lock().unwrap();
         let items = state.objects.iter().filter(|((k, n), _)| k == kind && n.as_str() > after);
-        let mut items: Vec<String> =
-            items.map(|((_, n), (r, spec))| object(n, *r, spec)).take(self.page + 1).collect();
-        let more = items.len() > self.page;
-        items.truncate(self.page);
+        let mut items = items.map(|((_, n), (r, spec))| object(n, *r, spec)).peekable();
+        let (mut page, mut bytes) = (Vec::new(), 0);
+        while page.len() < self.page
+            && bytes < PAGE_BYTES
+            && let Some(item) = items.next()
+        {
+            bytes += item.len();
+            page.push(item);
+        }
+        let (more, items) = (items.peek().is_some(), page);
         let body = format!(
             r#"{{"items":[{}],"more":{more},"storeRevision":{}}}"#,
             items.join(","),
@@ -217,16 +221,15 @@
     fn watch(&self, kind: &str, from: u64, wait: Duration) -> (u16, String) {
         let deadline = Instant::now() + wait;
         let mut state = self.state.0.lock().unwrap();
-        if wait >= Duration::from_secs(1) {
-            state.watches.insert(kind.to_owned(), Instant::now());
-        }
         loop {
-            if from > state.revision {
+            state.history.retain(|(at, ..)| at.elapsed() < HISTORY);
+            let oldest = state.history.first().map_or(state.revision + 1, |(_, r, ..)| *r);
+            if from > state.revision || from + 1 < oldest {
                 return (410, String::new());
             }
-            let changes = state.history.iter().filter(|(r, k, ..)| *r > from && k == kind);
+            let changes = state.history.iter().filter(|(_, r, k, ..)| *r > from && k == kind);
             let events: Vec<String> = changes
-                .map(|(r, _, n, spec)| {
+                .map(|(_, r, _, n, spec)| {
                     let deleted = spec.is_none();
                     let object = object(n, *r, spec.as_deref().unwrap_or("null"));
                     format!(r#"{{"deleted":{deleted},"object":{object}}}"#)
