--- a/review/standin-2/run-case.sh
+++ b/review/standin-2/run-case.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays one case: run-case.sh PROGRAM FOLDER, from the root of the repository. Exits with 1 if the rule was broken, 0 if it
+# Plays one case: run-case.sh PROGRAM RECORD, from the root of the repository. Exits with 1 if the rule was broken, 0 if it
 # held, 2 if the case could not run.
 set -u
 program="review/standin-2/target/release/$1"
@@ -9,7 +9,7 @@
 fi
 tmp="$(mktemp -d)"
 touch "$tmp/pids"
-CASE_DIR="$2" CASE_TMP="$tmp" timeout 115 "$program"
+CASE_RECORD="$2" CASE_TMP="$tmp" timeout 115 "$program"
 code=$?
 while read -r pid; do
     # only a process that this run started, and that has not ended
--- a/review/standin-2/src/record.rs
+++ b/review/standin-2/src/record.rs
@@ -2,7 +2,6 @@
 
 use std::fs::File;
 use std::io::Write;
-use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
@@ -14,10 +13,10 @@
 }
 
 impl Record {
-    /// Creates `record.txt` in the folder that the variable `CASE_DIR` names.
+    /// Creates the file that the variable `CASE_RECORD` names.
     pub fn create() -> Self {
-        let dir = PathBuf::from(std::env::var("CASE_DIR").expect("CASE_DIR is set by run.sh"));
-        let file = File::create(dir.join("record.txt")).expect("record.txt can be written");
+        let path = std::env::var("CASE_RECORD").expect("CASE_RECORD is set by run-case.sh");
+        let file = File::create(path).expect("the record can be written");
         Self { start: Instant::now(), file: Arc::new(Mutex::new(file)) }
     }
 
