--- a/src/lib.rs
+++ b/src/lib.rs
@@ -83,6 +83,7 @@
 pub use protocol::rate_limit::{InvalidRateLimit, parse_rate_limit};
 pub use protocol::retry_after::{InvalidRetryAfter, parse_retry_after, retry_after_value};
 pub use protocol::upstream::{UpstreamCodec, parse_label, parse_load};
+pub use protocol::uri::encode_uri_component;
 pub use state::arena::{Arena, Key, PoolKey, RouteKey, ServerKey, ServiceKey, UpstreamKey};
 pub use state::beliefs::Beliefs;
 pub use state::catalog::{Catalog, ServiceEntry, ShardEntry, ShardMapEntry};
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -11,3 +11,4 @@
 pub(crate) mod rate_limit;
 pub(crate) mod retry_after;
 pub(crate) mod upstream;
+pub(crate) mod uri;
