A page that cannot be read costs no other page, nor what is held

A list of several pages counted for nothing if one of them could not be read.

What a page has named is true; what none has named is not therefore gone. A list states its extent now. An interrupted one (the call for a later page failed) is read again after the usual pause; until then its servers and evacuations serve only those who know nothing of the kind: its document has a version below all others. The first truncated list of a process counts as interrupted, since its peers' documents may be on their way.

--- a/src/coordination/grace.rs
+++ b/src/coordination/grace.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::coordination::store_era::doc_era;
+use crate::coordination::store_era::{doc_era, is_interrupted};
 use crate::state::beliefs::Beliefs;
 use crate::state::docs::Doc;
 use crate::state::time::Tick;
@@ -58,7 +58,8 @@
 
     /// Takes a newer document into what is believed.
     pub fn believe(&self, beliefs: &mut Beliefs, doc: Arc<Doc>, held_back: HeldBack, now: Tick) {
-        let known = beliefs.version();
+        // the document of an interrupted list is no point from which the store could have come back
+        let known = beliefs.version().filter(|known| !is_interrupted(*known));
         match held_back {
             HeldBack::Restored | HeldBack::RestoredAndLapsed
                 if known.is_some_and(|known| doc_era(known) < doc_era(doc.version)) =>
--- a/src/coordination/store_era.rs
+++ b/src/coordination/store_era.rs
@@ -27,6 +27,21 @@
         let revision = self.revision.saturating_mul(VERSIONS_PER_REVISION);
         (self.era.min(MAX_ERA) << REVISION_BITS) | revision.min((1 << REVISION_BITS) - 1)
     }
+
+    /// Returns the version of a document of this point that may lack entries; the one that has all is newer.
+    pub fn truncated_doc_version(self) -> u64 {
+        self.doc_version().saturating_sub(1).max(self.era.min(MAX_ERA) << REVISION_BITS)
+    }
+}
+
+/// Returns the version of the document of an interrupted list, the `number`th in a row; any other document is newer.
+pub fn interrupted_doc_version(number: u64) -> u64 {
+    number.clamp(1, VERSIONS_PER_REVISION - 1)
+}
+
+/// Returns whether a document of this version is of an interrupted list, and so tells neither a point nor an era.
+pub fn is_interrupted(version: u64) -> bool {
+    version < VERSIONS_PER_REVISION
 }
 
 /// Returns the era of the store in which a document of this version was read.
@@ -58,6 +73,8 @@
     Restored,
     /// It is of an era before the one that is known; it is not used.
     Outdated,
+    /// It was interrupted, and serves only those who know nothing of the kind.
+    Interrupted,
 }
 
 /// What to do with the answer to a watch.
@@ -111,12 +128,22 @@
         self.era = self.era.max(Some(doc_era(doc_version)));
     }
 
+    /// Returns whether anything is known of the kind.
+    pub fn knows_kind(&self) -> bool {
+        self.era.is_some()
+    }
+
+    /// Returns whether a list of this era is of an earlier one than what is known of the kind.
+    pub fn is_outdated(&self, era: Option<u64>) -> bool {
+        self.era.is_some_and(|known| era.or(self.era).unwrap_or_default() < known)
+    }
+
     /// Records a list; `era` is that of its reply, if it states one.
     pub fn record_list(&mut self, era: Option<u64>, revision: u64) -> ListUse {
-        let (known, era) = (self.era, era.or(self.era).unwrap_or_default());
-        if known.is_some_and(|known| era < known) {
+        if self.is_outdated(era) {
             return ListUse::Outdated;
         }
+        let (known, era) = (self.era, era.or(self.era).unwrap_or_default());
         self.has_listed = true;
         self.revision = Some(revision);
         self.era = Some(era);
--- a/src/coordination/store_mirror.rs
+++ b/src/coordination/store_mirror.rs
@@ -5,14 +5,35 @@
 //! to there may claim it, and all who do claim the same. What an instance believes beside it is no part of the document
 //! (see `state/beliefs.rs`). The pages of a list are read at different points, so that a list of several pages is no
 //! such document before the changes between them are known.
-
-use indexmap::IndexMap;
-
-use crate::coordination::store_era::{ListUse, StoreCall, StorePoint, WatchCursor, WatchUse};
+//!
+//! Pages may stay unread: a call fails, or other writers have chosen names that no call can ask on from. What a page has named is
+//! true; what none has named is not therefore gone. An interrupted list is read again soon, and serves only those who know
+//! nothing of the kind. A truncated list reads the same for everyone, however often; what is held beside it is asked
+//! for by name, and the two together are published below the document that has all.
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::coordination::store_era::{
+    ListUse, StoreCall, StorePoint, WatchCursor, WatchUse, interrupted_doc_version, is_interrupted,
+};
+
+/// Which part of the objects of a kind a list has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ListExtent {
+    /// All of them.
+    #[default]
+    Whole,
+    /// Those before a page for which the call failed.
+    Interrupted,
+    /// Those before a page for which there is no call.
+    Truncated,
+}
 
 /// A list of a kind.
 #[derive(Clone, Debug)]
 pub struct StoreList<T> {
+    /// Which part of the kind it has; of a truncated one, entries that are known otherwise are looked up by name.
+    pub extent: ListExtent,
     /// Era of the store, if its replies state it.
     pub era: Option<u64>,
     /// Revision of the first page, from which a watch goes on.
@@ -41,11 +62,22 @@
     entries: IndexMap<String, T>,
     /// Revision from which on the entries are those of one point.
     complete_from: u64,
+    extent: ListExtent,
+    /// Interrupted lists in a row, and the entries of the last one.
+    interruptions: u64,
+    interrupted_entries: Option<IndexMap<String, T>>,
 }
 
 impl<T> Default for StoreMirror<T> {
     fn default() -> Self {
-        Self { cursor: WatchCursor::default(), entries: IndexMap::new(), complete_from: 0 }
+        Self {
+            cursor: WatchCursor::default(),
+            entries: IndexMap::new(),
+            complete_from: 0,
+            extent: ListExtent::Whole,
+            interruptions: 0,
+            interrupted_entries: None,
+        }
     }
 }
 
@@ -72,17 +104,43 @@
 
     /// Records the version of a peer's document; a list of an earlier era is not used then.
     pub fn record_peer_version(&mut self, doc_version: u64) {
-        self.cursor.adopt(doc_version);
+        if !is_interrupted(doc_version) {
+            self.cursor.adopt(doc_version);
+        }
+    }
+
+    /// Returns the names that a truncated list may lack, since they are held or expected but not on any of its pages.
+    ///
+    /// Each of them is looked up by name, so that what is gone is not kept.
+    pub fn missing_names<'a>(
+        listed: &IndexMap<String, T>,
+        held: impl IntoIterator<Item = &'a String>,
+        expected: impl IntoIterator<Item = &'a String>,
+    ) -> IndexSet<String> {
+        let known = held.into_iter().chain(expected);
+        known.filter(|name| !listed.contains_key(*name)).cloned().collect()
     }
 
     /// Records a list.
     pub fn record_list(&mut self, list: StoreList<T>) -> ListUse {
-        let use_of_list = self.cursor.record_list(list.era, list.revision);
-        if use_of_list != ListUse::Outdated {
-            self.entries = list.entries;
-            self.complete_from = list.last_revision;
+        if self.cursor.is_outdated(list.era) {
+            return ListUse::Outdated;
         }
-        use_of_list
+        // what peers hold may not have arrived when a process lists for the first time
+        let is_first = self.interruptions == 0 && !self.cursor.knows_kind();
+        if list.extent == ListExtent::Interrupted
+            || (list.extent == ListExtent::Truncated && is_first)
+        {
+            self.interruptions += 1;
+            self.interrupted_entries = Some(list.entries);
+            return ListUse::Interrupted;
+        }
+        self.interruptions = 0;
+        self.interrupted_entries = None;
+        self.extent = list.extent;
+        self.entries = list.entries;
+        self.complete_from = list.last_revision;
+        self.cursor.record_list(list.era, list.revision)
     }
 
     /// Records the answer to a watch.
@@ -113,6 +171,25 @@
         self.is_complete().then(|| (self.cursor.point(), &self.entries))
     }
 
+    /// Returns the version of the document to publish: that of its point, or a lower one if it may lack entries.
+    pub fn doc_version(&self) -> u64 {
+        match self.extent {
+            ListExtent::Truncated => self.cursor.point().truncated_doc_version(),
+            _ => self.cursor.point().doc_version(),
+        }
+    }
+
+    /// Returns version and entries of an interrupted list, for those who know nothing of the kind: any other document is newer.
+    pub fn interruption(&self) -> Option<(u64, &IndexMap<String, T>)> {
+        let entries = self.interrupted_entries.as_ref()?;
+        Some((interrupted_doc_version(self.interruptions), entries))
+    }
+
+    /// Returns whether the kind was listed without its last pages.
+    pub fn is_truncated(&self) -> bool {
+        self.extent == ListExtent::Truncated
+    }
+
     /// Returns the number of entries.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,8 +54,10 @@
 pub use coordination::shares::{ColdLimiter, Places, Role, connection_share, limit_share};
 pub use coordination::sliding_window::SlidingWindow;
 pub use coordination::snapshot::choose_snapshot;
-pub use coordination::store_era::{ListUse, StoreCall, StorePoint, WatchCursor, WatchUse, doc_era};
-pub use coordination::store_mirror::{StoreChanges, StoreList, StoreMirror};
+pub use coordination::store_era::{
+    ListUse, StoreCall, StorePoint, WatchCursor, WatchUse, doc_era, is_interrupted,
+};
+pub use coordination::store_mirror::{ListExtent, StoreChanges, StoreList, StoreMirror};
 pub use coordination::supervision::{Ended, Running, SupervisionOptions, Task};
 pub use coordination::tickets::{
     Accepted, Change, Checked, Draft, Head, MAX_CONFIG_BYTES, is_newer,
--- a/src/transport/metrics.rs
+++ b/src/transport/metrics.rs
@@ -22,6 +22,7 @@
     pub(crate) connections: IntCounterVec,
     pub(crate) notices: IntCounterVec,
     pub(crate) platform_calls: IntCounterVec,
+    pub(crate) store_lists: IntCounterVec,
     pub(crate) task_ends: IntCounterVec,
     pub(crate) link_bytes: IntGauge,
     pub(crate) config_version: IntGauge,
@@ -99,6 +100,11 @@
                 "calls to the platform",
                 "call",
             ),
+            store_lists: builder.counters(
+                &prefixed("store_lists_total"),
+                "lists of the platform's store, by the part of the objects that could be read",
+                "extent",
+            ),
             task_ends: builder.counters(
                 &prefixed("task_ends_total"),
                 "tasks of the instance that ended and were started again",
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -24,6 +24,7 @@
 use crate::coordination::server_stats::{RunReport, ServerStats};
 use crate::coordination::shares::{self, Places, Role};
 use crate::coordination::sliding_window::SlidingWindow;
+use crate::coordination::store_mirror::ListExtent;
 use crate::coordination::warming::Warming;
 use crate::protocol::codec::{ResponseHead, ServerCodec};
 use crate::state::arena::{PoolKey, RouteKey, ServerKey};
@@ -305,6 +306,16 @@
         self.failing_tasks.load(Ordering::Relaxed) > 0
     }
 
+    /// Counts a list of the platform's store, by which part of its objects could be read.
+    pub fn record_store_list(&self, extent: ListExtent) {
+        let extent = match extent {
+            ListExtent::Whole => "whole",
+            ListExtent::Interrupted => "interrupted",
+            ListExtent::Truncated => "truncated",
+        };
+        self.metrics.store_lists.with_label_values(&[extent]).inc();
+    }
+
     /// Records that a task has begun to fail, or that it runs again.
     pub(crate) fn record_failing_task(&self, is_failing: bool) {
         if is_failing {
