Text in a log line is bounded and stays on it

Names and contents of other writers go into messages and fields. The text format of `tamarackd` wrote them as they are, so that a name with a line feed began a line of its own, of any level and instance; in both formats a name of a megabyte made a line of a megabyte, twice, though the queue of lines is what bounds the memory of the log (by reading; by the test).

A message and each field have 8 KiB at most, with what was left out; the text format escapes control characters, as JSON does.

--- a/src/transport/process/logging.rs
+++ b/src/transport/process/logging.rs
@@ -18,6 +18,9 @@
 /// Maximum number of lines per second from one log statement; further lines are left out and counted.
 const MAX_LINES_PER_SECOND: u32 = 60;
 
+/// Maximum length of a message or a field, in bytes; other writers choose some of their text.
+const MAX_TEXT_BYTES: usize = 8 << 10;
+
 /// Number of lines of one log statement in the current second.
 #[derive(Clone, Copy, Debug, Default)]
 struct LineRate {
@@ -60,7 +63,7 @@
             (Some(b), ..) => b.into(),
             (_, Some(n), _) => n.into(),
             (_, _, Some(x)) => x.into(),
-            _ => value.to_string().into(),
+            _ => shortened(value.to_string()).into(),
         };
         self.0.insert(key.to_string(), json);
         Ok(())
@@ -103,7 +106,7 @@
     line.insert("ms".into(), ms.into());
     line.insert("level".into(), record.level().as_str().into());
     line.insert("instance".into(), opts.instance.as_str().into());
-    line.insert("message".into(), record.args().to_string().into());
+    line.insert("message".into(), shortened(record.args().to_string()).into());
     if record.key_values().visit(&mut FieldVisitor(&mut line)).is_err() {
         line.insert("fields".into(), "unreadable".into());
     }
@@ -116,9 +119,32 @@
     }
 }
 
+/// Returns text of at most [`MAX_TEXT_BYTES`], and how much of it is left out.
+fn shortened(mut text: String) -> String {
+    let kept = text.floor_char_boundary(MAX_TEXT_BYTES);
+    if kept < text.len() {
+        let left_out = text.len() - kept;
+        text.truncate(kept);
+        text.push_str(&format!("... ({left_out} bytes left out)"));
+    }
+    text
+}
+
+/// Returns text without control characters, which could begin a line or reach a terminal.
+fn on_one_line(text: &str) -> String {
+    text.chars().fold(String::with_capacity(text.len()), |mut escaped, c| {
+        if c.is_control() {
+            escaped.extend(c.escape_default());
+        } else {
+            escaped.push(c);
+        }
+        escaped
+    })
+}
+
 fn format_text(line: &Map<String, serde_json::Value>) -> String {
     let plain = |value: &serde_json::Value| match value {
-        serde_json::Value::String(text) => text.clone(),
+        serde_json::Value::String(text) => on_one_line(text),
         other => other.to_string(),
     };
     let head = ["level", "instance", "message"].map(|name| line.get(name).map_or("".into(), plain));
--- a/tests/log.rs
+++ b/tests/log.rs
@@ -60,3 +60,79 @@
     }
     insta::assert_snapshot!(lines);
 }
+
+struct TextCase {
+    name: &'static str,
+    format: LogFormat,
+    text: fn() -> String,
+    /// What the line has of the text.
+    shown: &'static str,
+    is_whole: bool,
+}
+
+const TEXTS: &[TextCase] = &[
+    TextCase {
+        name: "a line end in JSON",
+        format: LogFormat::Json,
+        text: || "i-1\n{\"level\":\"ERROR\"}".into(),
+        shown: r#"i-1\n{\"level\":\"ERROR\"}"#,
+        is_whole: true,
+    },
+    TextCase {
+        name: "a line end in text",
+        format: LogFormat::Text,
+        text: || "i-1\nERROR f1 stopped".into(),
+        shown: r"i-1\nERROR f1 stopped",
+        is_whole: true,
+    },
+    TextCase {
+        name: "a terminal's sequence in text",
+        format: LogFormat::Text,
+        text: || "i-1\u{1b}[2J".into(),
+        shown: r"i-1\u{1b}[2J",
+        is_whole: true,
+    },
+    TextCase {
+        name: "a megabyte",
+        format: LogFormat::Json,
+        text: || "\u{e7}".repeat(500_000),
+        shown: "\u{e7}\u{e7}",
+        is_whole: false,
+    },
+    TextCase {
+        name: "a megabyte in text",
+        format: LogFormat::Text,
+        text: || "x".repeat(1_000_000),
+        shown: "xx",
+        is_whole: false,
+    },
+];
+
+/// Longest line of a message and a field that another writer fills, in bytes.
+const MAX_LINE_BYTES: usize = 40 << 10;
+
+/// Guards against text of another writer that begins a line of its own, or makes lines of any length.
+#[test]
+fn text_of_another_writer_stays_within_its_line() {
+    for case in TEXTS {
+        let text = (case.text)();
+        let opts = LogOptions { instance: "i1".into(), format: case.format, ..Default::default() };
+        let fields = [("name", text.as_str())];
+        let line = render_log(
+            &opts,
+            1_500,
+            &[],
+            &log::Record::builder()
+                .level(Level::Warn)
+                .args(format_args!("ignored an invalid entry: servers/{text}"))
+                .key_values(&fields)
+                .build(),
+        );
+        assert!(!line.contains(|c: char| c.is_control()), "{}: {line:?}", case.name);
+        assert!(line.len() <= MAX_LINE_BYTES, "{}: {} bytes", case.name, line.len());
+        let times = line.matches(case.shown).count();
+        assert!(times >= 2, "{}: {times} times in the line", case.name);
+        let names_left_out = line.contains("bytes left out");
+        assert_eq!(names_left_out, !case.is_whole, "{}", case.name);
+    }
+}
