--- /dev/null
+++ b/src/coordination/connection.rs
@@ -0,0 +1,86 @@
+//! What a caller's connection is doing, and from when on a planned stop may close it.
+//!
+//! The load pattern: callers open a connection some time before its first request, send heads in pieces, and read large answers
+//! slowly. A connection that is closed between its first byte and the last byte of the answer costs a request that may have run,
+//! and its caller is not told; one that is idle after an answer costs nothing, since callers know that it may be closed.
+
+use std::time::Duration;
+
+use crate::state::time::Tick;
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ConnectionPhase {
+    /// Nothing was received yet: its first request is still to come.
+    #[default]
+    Fresh,
+    /// A part of a request's head was received.
+    Reading,
+    /// A request is handled, or its answer is being written.
+    Busy,
+    /// The last answer is written, and nothing was received since.
+    Idle,
+}
+
+/// A caller's connection.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CallerConnection {
+    phase: ConnectionPhase,
+    opened_at: Tick,
+    /// Whether all of the answer was handed over to be written.
+    is_answered: bool,
+    /// How long a caller may take for its first request, once a stop closes connections.
+    first_request_time: Option<Duration>,
+}
+
+impl CallerConnection {
+    /// Opens a connection.
+    pub fn open(now: Tick) -> Self {
+        Self { opened_at: now, ..Self::default() }
+    }
+
+    /// Returns what the connection is doing.
+    pub fn phase(&self) -> ConnectionPhase {
+        self.phase
+    }
+
+    /// Records received bytes.
+    pub fn record_read(&mut self) {
+        if matches!(self.phase, ConnectionPhase::Fresh | ConnectionPhase::Idle) {
+            self.phase = ConnectionPhase::Reading;
+        }
+    }
+
+    /// Records a whole head.
+    pub fn record_request(&mut self) {
+        self.phase = ConnectionPhase::Busy;
+        self.is_answered = false;
+    }
+
+    /// Records that all of an answer was handed over to be written.
+    pub fn record_answer(&mut self) {
+        self.is_answered = true;
+    }
+
+    /// Records that all that was handed over is written.
+    pub fn record_flush(&mut self) {
+        if self.phase == ConnectionPhase::Busy && self.is_answered {
+            self.phase = ConnectionPhase::Idle;
+        }
+    }
+
+    /// Records that the instance closes its connections; a caller that has just opened one has `first_request_time` from then.
+    pub fn begin_close(&mut self, first_request_time: Duration) {
+        self.first_request_time = Some(first_request_time);
+    }
+
+    /// Returns from when on the connection is closed, unless something is received before: `None` while a request is under way.
+    pub fn closes_at(&self) -> Option<Tick> {
+        let first_request_time = self.first_request_time?;
+        match self.phase {
+            ConnectionPhase::Fresh => Some(self.opened_at + first_request_time),
+            ConnectionPhase::Idle => Some(self.opened_at),
+            ConnectionPhase::Reading | ConnectionPhase::Busy => None,
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
     Attempt, ConnectionUse, Dispatched, Fault, Label, NotRun, NotRunCode, Outcome, Pending,
     RawAnswer, Replied, UpstreamRefusal,
 };
+pub use coordination::connection::{CallerConnection, ConnectionPhase};
 pub use coordination::division::{
     Division, RangeEnd, RangeProgress, RangeRatios, RangeRefusals, RangeStep, RangesDecision,
     range_ratios,
@@ -28,7 +29,7 @@
 pub use coordination::lag::{Lag, SAMPLE_INTERVAL as LAG_SAMPLE_INTERVAL};
 pub use coordination::latency_histogram::LatencyHistogram;
 pub use coordination::lifecycle::{
-    InFlight, Instance, Leaving, Serving, Starting, StopOptions, Stopped,
+    Closing, Instance, Leaving, Serving, Starting, StopOptions, StopTimes, Stopped, Unfinished,
 };
 pub use coordination::limiter::Limiter;
 pub use coordination::once::{
--- /dev/null
+++ b/src/transport/callers/connection.rs
@@ -0,0 +1,131 @@
+//! The socket of a caller's connection, which records what the connection is doing.
+
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Frame, SizeHint};
+use parking_lot::Mutex;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use crate::coordination::connection::CallerConnection;
+use crate::transport::clock::Clock;
+
+/// What a connection is doing, as its socket, its handler and its answers record it.
+pub(crate) type Activity = Arc<Mutex<CallerConnection>>;
+
+/// A socket that records what is read and written.
+///
+/// Once the connection is to be closed and nothing more has arrived, the HTTP library reads the end of the stream, as if the caller
+/// had closed it, and closes it in order.
+pub(crate) struct TrackedStream {
+    stream: TcpStream,
+    activity: Activity,
+    clock: Clock,
+}
+
+impl TrackedStream {
+    pub(crate) fn new(stream: TcpStream, activity: Activity, clock: Clock) -> Self {
+        Self { stream, activity, clock }
+    }
+}
+
+impl AsyncRead for TrackedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        match Pin::new(&mut self.stream).poll_read(cx, buf) {
+            Poll::Ready(result) => {
+                if buf.filled().len() > before {
+                    self.activity.lock().record_read();
+                }
+                Poll::Ready(result)
+            }
+            Poll::Pending => {
+                let closes_at = self.activity.lock().closes_at();
+                match closes_at {
+                    Some(at) if at <= self.clock.now() => Poll::Ready(Ok(())),
+                    _ => Poll::Pending,
+                }
+            }
+        }
+    }
+}
+
+impl AsyncWrite for TrackedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // the HTTP library flushes once it has written all that it holds
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.activity.lock().record_flush();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// The body of an answer, which records that all of it was handed over to be written.
+pub(crate) struct TrackedBody {
+    body: Full<Bytes>,
+    activity: Activity,
+}
+
+impl TrackedBody {
+    pub(crate) fn new(body: Full<Bytes>, activity: Activity) -> Self {
+        Self { body, activity }
+    }
+}
+
+impl Drop for TrackedBody {
+    fn drop(&mut self) {
+        self.activity.lock().record_answer();
+    }
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = <Full<Bytes> as Body>::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/src/transport/callers/frontend.rs
+++ b/src/transport/callers/frontend.rs
@@ -1,23 +1,27 @@
-//! The listener for callers: connection limits, keep-alive and graceful shutdown.
+//! The listener for callers: connection limits, keep-alive and the planned stop.
 
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use futures::FutureExt;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::coordination::connection::CallerConnection;
 use crate::coordination::lag::SAMPLE_INTERVAL as LAG_SAMPLE_INTERVAL;
-use crate::coordination::lifecycle::{InFlight, Instance, Leaving, Starting};
+use crate::coordination::lifecycle::{Closing, Instance, Starting, Unfinished};
 use crate::state::time::Tick;
+use crate::transport::callers::connection::{Activity, TrackedBody, TrackedStream};
 use crate::transport::http::{AbortOnDrop, FullResponse};
 use crate::transport::supervisor::Supervisor;
 use crate::transport::upstreams::connection_pool::set_socket_options;
@@ -27,10 +31,8 @@
 const MIN_HEADER_BUFFER_BYTES: usize = 8 << 10;
 /// Delay after a failed accept, which avoids a busy loop when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Interval at which a leaving instance checks its requests in flight.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(25);
-/// Timeout for connections to close once no request is in flight.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Interval at which a closing instance checks whether anything is unfinished.
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
 /// When a request arrived, and whether it opened the connection.
 #[derive(Clone, Copy, Debug)]
@@ -51,41 +53,58 @@
     ) -> impl Future<Output = FullResponse> + Send;
 }
 
+/// What all connections of callers share.
+struct Shared<H> {
+    tier: Arc<Tier>,
+    handler: Arc<H>,
+    /// Cancelled when the instance closes its connections.
+    closing: CancellationToken,
+    tasks: TaskTracker,
+}
+
 /// Serves callers until `stop` is cancelled, then shuts down gracefully.
 ///
-/// The instance first reports not ready but goes on accepting connections for the notice period; then
-/// it closes the listener and waits for the requests in flight.
+/// The instance first reports not ready but goes on accepting connections for the notice period; then it closes the listener and
+/// finishes what has begun, from the first byte of a request to the last byte of its answer. `departure` tells peers.
 pub async fn serve(
     supervisor: &Supervisor,
     listener: TcpListener,
     handler: Arc<impl Handler>,
     stop: CancellationToken,
+    departure: impl Future<Output = ()>,
 ) {
     let tier = supervisor.tier();
     let instance = Instance::<Starting>::default().serve();
-    let (closing, tasks) = (CancellationToken::new(), TaskTracker::new());
+    let (closing, tasks) = Default::default();
+    let shared = Arc::new(Shared { tier: tier.clone(), handler, closing, tasks });
     let sampled = tier.clone();
     let _lag_sampler = AbortOnDrop(supervisor.spawn("lag", move || sample_lag(sampled.clone())));
-    let accepting = accept_connections(&tier, &listener, &handler, &closing, &tasks);
     tokio::select! {
-        () = accepting => {}
+        () = accept_connections(&listener, &shared) => {}
         () = stop.cancelled() => {}
     }
-    tier.leave();
+    let (times, clock) = (tier.leave(), tier.clock());
     log::info!(under_way = tier.requests_in_flight(); "instance is leaving and no longer reports ready");
-    let leaving = instance.leave(tier.now());
-    let accepting = accept_connections(&tier, &listener, &handler, &closing, &tasks);
-    tokio::select! {
-        () = accepting => {}
-        () = tokio::time::sleep(tier.opts.stop.notice) => {}
+    let mut leaving = instance.leave(times);
+    let closed = loop {
+        leaving = match leaving.try_close(tier.now()) {
+            Ok(closed) => break closed,
+            Err(leaving) => leaving,
+        };
+        tokio::select! {
+            () = accept_connections(&listener, &shared) => {}
+            () = clock.sleep_until(times.accepts_until) => {}
+        }
+    };
+    // the system resets those that still wait once the listener is closed
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        shared.tasks.spawn(serve_connection(shared.clone(), stream));
     }
     drop(listener);
-    closing.cancel();
-    tasks.close();
-    wait_until_drained(&tier, leaving).await;
-    if tokio::time::timeout(CLOSE_TIMEOUT, tasks.wait()).await.is_err() {
-        log::warn!(connections = tasks.len(); "stopped with connections still open");
-    }
+    shared.closing.cancel();
+    shared.tasks.close();
+    log::info!(connections = shared.tasks.len(); "instance accepts no more connections");
+    finish(&shared, closed, departure).await;
 }
 
 /// Samples the scheduling lag of this process until the task is aborted.
@@ -96,18 +115,11 @@
     }
 }
 
-async fn accept_connections(
-    tier: &Arc<Tier>,
-    listener: &TcpListener,
-    handler: &Arc<impl Handler>,
-    closing: &CancellationToken,
-    tasks: &TaskTracker,
-) {
+async fn accept_connections(listener: &TcpListener, shared: &Arc<Shared<impl Handler>>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let conn = serve_connection(tier.clone(), stream, handler.clone(), closing.clone());
-                tasks.spawn(conn);
+                shared.tasks.spawn(serve_connection(shared.clone(), stream));
             }
             Err(e) => {
                 log::warn!("cannot accept a connection from a caller: {e}");
@@ -117,48 +129,80 @@
     }
 }
 
-/// Waits until no request is in flight or the maximum duration of the stop has passed.
-async fn wait_until_drained(tier: &Tier, mut leaving: Instance<Leaving>) {
+/// Waits until nothing is unfinished and peers know, or the stop must end.
+async fn finish(
+    shared: &Shared<impl Handler>,
+    mut instance: Instance<Closing>,
+    departure: impl Future<Output = ()>,
+) {
+    let tier = &shared.tier;
+    let mut departure = std::pin::pin!(departure.fuse());
+    let (mut announces, mut is_announced) = (false, false);
     loop {
-        let in_flight =
-            InFlight { requests: tier.requests_in_flight(), gathers: tier.gathers_in_flight() };
-        leaving = match leaving.try_stop(&tier.opts.stop, in_flight, tier.now()) {
-            Ok(_stopped) => return,
+        let unfinished = Unfinished {
+            connections: shared.tasks.len(),
+            requests: tier.requests_in_flight(),
+            gathers: tier.gathers_in_flight(),
+            ..Unfinished::default()
+        };
+        announces |= instance.announces(unfinished, tier.now());
+        instance = match instance.try_stop(unfinished, is_announced, tier.now()) {
+            Ok(_stopped) => {
+                if unfinished != Unfinished::default() || !is_announced {
+                    log::warn!(unfinished:? = unfinished, is_announced; "stopped before all was finished");
+                }
+                return;
+            }
             Err(unfinished) => unfinished,
         };
-        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        tokio::select! {
+            () = departure.as_mut(), if announces && !is_announced => is_announced = true,
+            () = tokio::time::sleep(CLOSE_POLL_INTERVAL) => {}
+        }
     }
 }
 
-async fn serve_connection(
-    tier: Arc<Tier>,
-    stream: TcpStream,
-    handler: Arc<impl Handler>,
-    closing: CancellationToken,
-) {
+async fn serve_connection(shared: Arc<Shared<impl Handler>>, stream: TcpStream) {
     if let Err(e) = set_socket_options(&stream) {
         log::debug!("cannot set socket options of a caller's connection: {e}");
         return;
     }
+    let (tier, clock) = (shared.tier.clone(), shared.tier.clock());
     let limits = tier.view().route_table.as_ref().map(|t| t.limits).unwrap_or_default();
+    let activity = Activity::new(Mutex::new(CallerConnection::open(clock.now())));
     let is_first = AtomicBool::new(true);
+    let (closing, handled) = (shared.closing.clone(), activity.clone());
     let service = service_fn(move |req: Request<Incoming>| {
+        handled.lock().record_request();
         let arrived_at = tier.lag.lock().arrival(tier.now());
         let arrival = Arrival { arrived_at, is_first: is_first.swap(false, Ordering::Relaxed) };
-        let (tier, response) = (tier.clone(), handler.clone().handle(req, arrival));
-        async move { Ok::<_, Infallible>(close_if_not_ready(&tier, response.await)) }
+        let (shared, activity) = (shared.clone(), handled.clone());
+        async move {
+            let res = respond(&shared, req, arrival).await;
+            Ok::<_, Infallible>(res.map(|body| TrackedBody::new(body, activity)))
+        }
     });
+    let stream = TrackedStream::new(stream, activity.clone(), clock);
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
         .max_buf_size(limits.max_header_bytes.max(MIN_HEADER_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut conn = std::pin::pin!(conn);
+    let close = async {
+        closing.cancelled().await;
+        activity.lock().begin_close(limits.header_timeout);
+    };
     let result = tokio::select! {
         result = conn.as_mut() => result,
-        () = closing.cancelled() => {
-            conn.as_mut().graceful_shutdown();
-            conn.await
+        () = close => {
+            let closes_at = activity.lock().closes_at();
+            tokio::select! {
+                result = conn.as_mut() => result,
+                () = clock.sleep_until(closes_at.unwrap_or_default()), if closes_at.is_some() => {
+                    conn.await // polled once more, it reads the end of the stream
+                }
+            }
         }
     };
     if let Err(e) = result {
@@ -166,6 +210,15 @@
     }
 }
 
+async fn respond(
+    shared: &Shared<impl Handler>,
+    req: Request<Incoming>,
+    arrival: Arrival,
+) -> FullResponse {
+    let response = shared.handler.clone().handle(req, arrival).await;
+    close_if_not_ready(&shared.tier, response)
+}
+
 /// Adds `connection: close` while this instance is leaving, cannot serve or has failing tasks, so that the caller opens its
 /// next connection to another instance.
 fn close_if_not_ready(tier: &Tier, mut res: FullResponse) -> FullResponse {
--- a/src/transport/process/daemon.rs
+++ b/src/transport/process/daemon.rs
@@ -82,8 +82,9 @@
         }
         stop_requested.cancel();
     });
-    frontend::serve(&supervisor, callers, Arc::new(ApiHandler(node.clone())), stop).await;
-    heartbeats::announce_departure(&node.peers).await;
+    let (handler, departure) =
+        (Arc::new(ApiHandler(node.clone())), heartbeats::announce_departure(&node.peers));
+    frontend::serve(&supervisor, callers, handler, stop, departure).await;
     background_tasks.iter().for_each(|t| t.abort());
     stop_listeners.cancel();
     for task in listeners {
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -1,7 +1,7 @@
 //! The state that all requests of an instance share: routes, servers, their statistics, retry budgets.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
@@ -11,7 +11,7 @@
 use crate::coordination::gatherers::Spread;
 use crate::coordination::lag::Lag;
 use crate::coordination::latency_histogram::LatencyHistogram;
-use crate::coordination::lifecycle::StopOptions;
+use crate::coordination::lifecycle::{StopOptions, StopTimes};
 use crate::coordination::limiter::Limiter;
 use crate::coordination::rate_limit::{LimitPart, LimitReport, RateLimit};
 use crate::coordination::reachability::{self, CutReport};
@@ -190,7 +190,8 @@
     topology: Mutex<Topology>,
     view: RwLock<Arc<TopologyView>>,
     instances: AtomicUsize,
-    leaving: AtomicBool,
+    /// The times of the planned stop, once it has begun.
+    stop_times: OnceLock<StopTimes>,
     can_serve: AtomicBool,
     /// Number of tasks that end again and again.
     failing_tasks: AtomicUsize,
@@ -225,7 +226,7 @@
             domains: Mutex::default(),
             topology: Mutex::default(),
             view: RwLock::default(),
-            leaving: AtomicBool::new(false),
+            stop_times: OnceLock::new(),
             can_serve: AtomicBool::new(true),
             failing_tasks: AtomicUsize::new(0),
             requests_in_flight: AtomicUsize::new(0),
@@ -352,7 +353,7 @@
 
     /// Returns whether this instance is leaving.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.stop_times.get().is_some()
     }
 
     /// Counts a caller's request as in flight until the guard is dropped.
@@ -403,9 +404,9 @@
         update(&mut self.warming.lock())
     }
 
-    /// Marks this instance as leaving.
-    pub(crate) fn leave(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
+    /// Begins the planned stop of this instance.
+    pub(crate) fn leave(&self) -> StopTimes {
+        *self.stop_times.get_or_init(|| StopTimes::new(&self.opts.stop, self.now()))
     }
 
     /// Runs `update` on the health of a failure domain and logs whether the domain became unresponsive or
