At the end of a stop requests get a true answer, and late ones are refused

What was unfinished at the end of a stop ended in silence: a request whose server works for longer had its connection closed after 5.8 s, and one whose head was whole at 5.25 s of 5.5 was cut off. Its caller can't tell a loss from a request that was never read.

Requests in flight are given up 0.2 s before the end, as of unknown outcome (504, `outcome-unknown` on the own interface), so that the answer is written and read. A request that is whole after the listener closed runs only if what is usual on its route (the 99th percentile, at least the target latency; on the own interface its deadline) fits before that, and is refused as not run otherwise (503 with Retry-After, `stopping`). `StopTimes` decides both.

--- a/src/coordination/attempt.rs
+++ b/src/coordination/attempt.rs
@@ -50,6 +50,8 @@
     UnknownService,
     /// The instance is at its limit of requests in flight.
     Overloaded,
+    /// This instance stops before the request's deadline.
+    Stopping,
 }
 
 /// Why the outcome of an attempt is unknown.
@@ -273,6 +275,7 @@
             NotRunCode::KeyReused => "key-reused",
             NotRunCode::UnknownService => "unknown-service",
             NotRunCode::Overloaded => "overloaded",
+            NotRunCode::Stopping => "stopping",
         }
     }
 }
--- a/src/transport/callers/api.rs
+++ b/src/transport/callers/api.rs
@@ -7,7 +7,7 @@
 use hyper::header::RETRY_AFTER;
 use hyper::{Method, Request};
 
-use crate::coordination::attempt::NotRunCode;
+use crate::coordination::attempt::{Fault, NotRunCode};
 use crate::protocol::caller::{MAX_BODY_BYTES, QueryAnswer, Refusal, RequestOptions};
 use crate::protocol::retry_after::retry_after_value;
 use crate::transport::callers::frontend::{Arrival, Handler};
@@ -27,6 +27,10 @@
     ) -> impl Future<Output = FullResponse> + Send {
         handle_request(self.0.clone(), req)
     }
+
+    fn give_up(&self) -> FullResponse {
+        refusal_response(&self.0, &Refusal::OutcomeUnknown { reason: Fault::Timeout })
+    }
 }
 
 /// Admits a request unless too many are in flight; it counts as in flight until the guard is dropped.
@@ -37,6 +41,16 @@
     Ok(node.tier.track_request())
 }
 
+/// Refuses a request whose deadline is after the end of a planned stop.
+fn refuse_late(node: &Node, service: &str, options: &RequestOptions) -> Result<(), Refusal> {
+    let catalog = node.catalog();
+    let deadline = catalog.service(service).map(|(_, s)| s.policy.hard_deadline(options.deadline));
+    if node.tier.admits(deadline.unwrap_or_default()) {
+        return Ok(());
+    }
+    Err(Refusal::not_run(NotRunCode::Stopping))
+}
+
 /// Routes a request by method and path; a refusal becomes a JSON response.
 async fn handle_request(node: Arc<Node>, req: Request<Incoming>) -> FullResponse {
     let path = req.uri().path().to_owned();
@@ -47,14 +61,16 @@
             (_, None, None) => return text_response(404, "no such path; see docs/API.md\n"),
             _ => return text_response(405, "use POST\n"),
         };
-    response.unwrap_or_else(|refusal| {
-        node.tier.metrics.requests.with_label_values(&[refusal.kind()]).inc();
-        let mut res = json_response(refusal.status(), &refusal);
-        if let Some(after) = refusal.retry_after() {
-            res.headers_mut().insert(RETRY_AFTER, retry_after_value(after));
-        }
-        res
-    })
+    response.unwrap_or_else(|refusal| refusal_response(&node, &refusal))
+}
+
+fn refusal_response(node: &Node, refusal: &Refusal) -> FullResponse {
+    node.tier.metrics.requests.with_label_values(&[refusal.kind()]).inc();
+    let mut res = json_response(refusal.status(), refusal);
+    if let Some(after) = refusal.retry_after() {
+        res.headers_mut().insert(RETRY_AFTER, retry_after_value(after));
+    }
+    res
 }
 
 async fn read_request(req: Request<Incoming>) -> Result<(RequestOptions, Bytes), Refusal> {
@@ -79,6 +95,7 @@
         let detail = "idempotency-key: queries are idempotent and take none".into();
         return Err(Refusal::BadRequest { detail });
     }
+    refuse_late(node, service, &options)?;
     let timer = node.tier.metrics.answer_seconds.start_timer();
     let answer = query::run_query(node, service, options, body).await?;
     timer.observe_duration();
@@ -94,6 +111,7 @@
 ) -> Result<FullResponse, Refusal> {
     let _in_flight = admit(node)?;
     let (options, body) = read_request(req).await?;
+    refuse_late(node, service, &options)?;
     let answer = once::run_request(node, service, options, body).await?;
     Ok(json_response(200, &answer))
 }
--- a/src/transport/callers/frontend.rs
+++ b/src/transport/callers/frontend.rs
@@ -51,6 +51,9 @@
         req: Request<Incoming>,
         arrival: Arrival,
     ) -> impl Future<Output = FullResponse> + Send;
+
+    /// Returns the response to a request that is given up while it is handled; it may have run.
+    fn give_up(&self) -> FullResponse;
 }
 
 /// What all connections of callers share.
@@ -59,6 +62,8 @@
     handler: Arc<H>,
     /// Cancelled when the instance closes its connections.
     closing: CancellationToken,
+    /// Cancelled when the instance gives up its requests in flight.
+    giving_up: CancellationToken,
     tasks: TaskTracker,
 }
 
@@ -75,8 +80,8 @@
 ) {
     let tier = supervisor.tier();
     let instance = Instance::<Starting>::default().serve();
-    let (closing, tasks) = Default::default();
-    let shared = Arc::new(Shared { tier: tier.clone(), handler, closing, tasks });
+    let (closing, giving_up, tasks) = Default::default();
+    let shared = Arc::new(Shared { tier: tier.clone(), handler, closing, giving_up, tasks });
     let sampled = tier.clone();
     let _lag_sampler = AbortOnDrop(supervisor.spawn("lag", move || sample_lag(sampled.clone())));
     tokio::select! {
@@ -104,6 +109,11 @@
     shared.closing.cancel();
     shared.tasks.close();
     log::info!(connections = shared.tasks.len(); "instance accepts no more connections");
+    let giving_up = shared.giving_up.clone();
+    let _give_up = AbortOnDrop(tokio::spawn(async move {
+        clock.sleep_until(times.answers_at).await;
+        giving_up.cancel();
+    }));
     finish(&shared, closed, departure).await;
 }
 
@@ -215,7 +225,11 @@
     req: Request<Incoming>,
     arrival: Arrival,
 ) -> FullResponse {
-    let response = shared.handler.clone().handle(req, arrival).await;
+    let response = tokio::select! {
+        biased;
+        response = shared.handler.clone().handle(req, arrival) => response,
+        () = shared.giving_up.cancelled() => shared.handler.give_up(),
+    };
     close_if_not_ready(&shared.tier, response)
 }
 
--- a/src/transport/callers/proxy.rs
+++ b/src/transport/callers/proxy.rs
@@ -26,8 +26,10 @@
 
 /// Retry delay sent to callers after servers refused; overloaded servers soon have a free slot.
 const RETRY_AFTER_REFUSAL: Duration = Duration::from_millis(60);
-/// Retry delay sent to callers if too few servers are reachable; another instance may reach them.
+/// Retry delay sent to callers if too few servers are reachable, or the instance stops; another instance may serve them.
 const RETRY_AFTER_UNREACHABLE: Duration = Duration::from_millis(10);
+/// Share of the answers of a route that take no longer than is usual.
+const USUAL_QUANTILE: f64 = 0.99;
 /// One-way trips charged to the first request of a connection: request, answer and TCP handshake.
 const FIRST_REQUEST_TRIPS: u32 = 4;
 /// One-way trips charged to the other requests: request and answer.
@@ -96,6 +98,11 @@
             BodyError::TooSlow => DeclineReason::TooSlow,
             BodyError::Broken => DeclineReason::Broken,
         })?;
+        if !self.tier.admits(self.usual_duration(route)) {
+            let id = caller_request.id.as_str();
+            log::info!(request = id; "request refused because the stop would end before its answer");
+            return Err(DeclineReason::NotRun { after: RETRY_AFTER_UNREACHABLE });
+        }
         let out = OutgoingRequest {
             method: head.method,
             uri: head.uri,
@@ -178,6 +185,13 @@
         (soft.min(hard), hard)
     }
 
+    /// Returns how long nearly all requests of a route take, at least the time within which they should be answered.
+    fn usual_duration(&self, route: &Route) -> Duration {
+        let quantile = |s: &mut RouteStats| s.latencies.quantile(USUAL_QUANTILE);
+        let seen = self.tier.route_stats.with_or_insert(route.key, RouteStats::default, quantile);
+        seen.unwrap_or_default().max(route.target_latency)
+    }
+
     fn pick_pool(&self, route: &Route, parts: &[(PoolKey, f64)]) -> Option<PoolKey> {
         if let [(only, _)] = parts {
             return Some(*only);
@@ -284,4 +298,10 @@
     async fn handle(self: Arc<Self>, req: Request<Incoming>, arrival: Arrival) -> FullResponse {
         Proxy::handle_request(&self, req, arrival).await
     }
+
+    fn give_up(&self) -> FullResponse {
+        let reason = ran_reason(true);
+        self.tier.metrics.requests.with_label_values(&[reason.kind()]).inc();
+        self.decline_response(reason)
+    }
 }
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -356,6 +356,11 @@
         self.stop_times.get().is_some()
     }
 
+    /// Returns whether a request that is complete now may run, if it usually takes `usual`; only a planned stop refuses some.
+    pub(crate) fn admits(&self, usual: Duration) -> bool {
+        self.stop_times.get().is_none_or(|times| times.admits(usual, self.now()))
+    }
+
     /// Counts a caller's request as in flight until the guard is dropped.
     pub(crate) fn track_request(self: &Arc<Self>) -> RequestGuard {
         self.requests_in_flight.fetch_add(1, Ordering::Relaxed);
