Peers confirm a departure once all that they sent has arrived

An instance ended its links right after it had told its peers that it leaves. A request to gather that a peer had sent by then was cut off with its link, so that the peer gave it up as of unknown outcome; and the heartbeats that went on, or an answer to one, made the leaving instance a member again at a peer that had just dropped it.

A peer that hears of a departure drops the member, and pings it over its own link before it confirms: a link keeps the order, so that everything it sent has been received and, as a leaving instance refuses gathers at once, answered. The leaving instance sends and answers no heartbeats from its announcement on.

--- a/src/state/members.rs
+++ b/src/state/members.rs
@@ -110,9 +110,9 @@
         }
     }
 
-    /// Removes a member that announced its departure.
-    pub fn remove(&mut self, name: &str) {
-        self.0.shift_remove(name);
+    /// Removes a member that announced its departure, and returns its address.
+    pub fn remove(&mut self, name: &str) -> Option<SocketAddr> {
+        self.0.shift_remove(name).map(|record| record.member.addr)
     }
 
     /// Returns the names of listed members of a failure domain without contact for longer than `timeout`.
--- a/src/transport/peers/heartbeats.rs
+++ b/src/transport/peers/heartbeats.rs
@@ -92,6 +92,9 @@
 
 async fn send_heartbeat(peers: Arc<Peers>, addr: SocketAddr) {
     let Ok(link) = peers.link(addr).await else { return };
+    if peers.has_departed() {
+        return;
+    }
     let sent_at = Instant::now();
     if let Ok(reply) =
         link.client.beat(context_with_timeout(HEARTBEAT_TIMEOUT), peers.heartbeat(Vec::new())).await
@@ -219,8 +222,9 @@
     log::info!(members, entries, bytes, compressed_bytes, took_ms; "documents pushed");
 }
 
-/// Tells all known members that this instance is leaving.
+/// Tells all known members that this instance is leaving, and waits until what they have sent it has arrived.
 pub async fn announce_departure(peers: &Arc<Peers>) {
+    peers.depart();
     let me = peers.opts.me.clone();
     let send = async |m: Member| {
         if let Ok(link) = peers.link(m.addr).await {
--- a/src/transport/peers/mod.rs
+++ b/src/transport/peers/mod.rs
@@ -68,6 +68,8 @@
     grace: Mutex<GracePeriods>,
     has_member_list: AtomicBool,
     can_watch: AtomicBool,
+    /// Whether this instance has begun to tell its peers that it leaves.
+    has_departed: AtomicBool,
     doc_handler: DocHandler,
     pub(crate) gather_handler: OnceLock<Arc<dyn GatherHandler>>,
     pub(crate) gatherers: Gatherers,
@@ -89,6 +91,7 @@
             grace: Mutex::default(),
             has_member_list: AtomicBool::new(false),
             can_watch: AtomicBool::new(true),
+            has_departed: AtomicBool::new(false),
             doc_handler,
             gather_handler: OnceLock::new(),
             gatherers: Gatherers::default(),
@@ -195,6 +198,16 @@
         self.can_watch.load(Ordering::Relaxed)
     }
 
+    /// Returns whether this instance has begun to tell its peers that it leaves.
+    pub(crate) fn has_departed(&self) -> bool {
+        self.has_departed.load(Ordering::Relaxed)
+    }
+
+    /// Records that this instance tells its peers that it leaves; it sends and answers no heartbeats from then on.
+    pub(crate) fn depart(&self) {
+        self.has_departed.store(true, Ordering::Relaxed);
+    }
+
     /// Returns the known members.
     pub fn members(&self) -> Vec<Member> {
         self.members.lock().iter().cloned().collect()
@@ -317,8 +330,9 @@
         }
     }
 
-    pub(crate) fn remove_member(&self, name: &str) {
-        self.members.lock().remove(name);
+    /// Removes a member that announced its departure, and returns its address.
+    pub(crate) fn remove_member(&self, name: &str) -> Option<SocketAddr> {
+        self.members.lock().remove(name)
     }
 
     fn hello(&self) -> Hello {
--- a/src/transport/peers/server.rs
+++ b/src/transport/peers/server.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result, bail};
 use futures::{SinkExt, StreamExt};
@@ -110,6 +110,9 @@
 
     async fn beat(self, _: context::Context, heartbeat: Heartbeat) -> Heartbeat {
         self.block_if_cut_off().await;
+        if self.peers.has_departed() {
+            std::future::pending::<()>().await; // an answer would make this instance a member again
+        }
         heartbeats::handle_heartbeat(&self.peers, &heartbeat)
     }
 
@@ -131,9 +134,14 @@
         heartbeats::handle_push(&self.peers, from, &changes);
     }
 
-    async fn left(self, _: context::Context, name: String) {
+    async fn left(self, cx: context::Context, name: String) {
         self.block_if_cut_off().await;
-        self.peers.remove_member(&name);
+        let Some(addr) = self.peers.remove_member(&name) else { return };
+        // a link keeps the order: once the member answers, it has received all that was sent to it, and what it answered is here
+        if let Some(link) = self.peers.links.get_open(addr) {
+            link.ping(cx.deadline.saturating_duration_since(Instant::now())).await;
+            self.peers.remove_member(&name);
+        }
     }
 
     async fn gather(self, _: context::Context, request: GatherRequest) -> GatherResult {
