A stop finishes the changes that operators have sent

An operator's ticket was cut off by a planned stop: the stop of `tamarackd` waited for callers alone and gave its other listeners one second. With a platform that answers after a second a ticket takes more than two; the operator saw a closed connection, and the configuration was changed all the same. On the platform the listeners for the load balancer and for metrics were cut at once.

A change counts as unfinished work from its first byte on, in the type that all listeners share, and a ticket that could not be finished before the end of the stop is refused, with nothing changed.

`a_stop_finishes_what_operators_and_keyed_requests_have_begun`: the case failed before (connection closed before the answer), and is answered 200 now.

--- a/src/transport/callers/frontend.rs
+++ b/src/transport/callers/frontend.rs
@@ -149,12 +149,7 @@
     let mut departure = std::pin::pin!(departure.fuse());
     let (mut announces, mut is_announced) = (false, false);
     loop {
-        let unfinished = Unfinished {
-            connections: shared.tasks.len(),
-            requests: tier.requests_in_flight(),
-            gathers: tier.gathers_in_flight(),
-            ..Unfinished::default()
-        };
+        let unfinished = Unfinished { connections: shared.tasks.len(), ..tier.unfinished() };
         announces |= instance.announces(unfinished, tier.now());
         instance = match instance.try_stop(unfinished, is_announced, tier.now()) {
             Ok(_stopped) => {
--- a/src/transport/operators/listener.rs
+++ b/src/transport/operators/listener.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::{Method, Request};
@@ -18,6 +19,9 @@
 use crate::transport::operators::submit::{SubmitResult, submit};
 use crate::transport::upstreams::tier::ServerState;
 
+/// Time that a submission may take: three calls to the platform, each with its timeout.
+const SUBMIT_TIME: Duration = Duration::from_millis(4_500);
+
 /// Handles one request to the operators' listener.
 pub(crate) async fn handle(node: Arc<Node>, req: Request<Incoming>) -> FullResponse {
     let path = req.uri().path().to_owned();
@@ -54,6 +58,7 @@
 }
 
 async fn post_ticket(node: &Arc<Node>, req: Request<Incoming>) -> FullResponse {
+    let _in_progress = node.tier.track_change();
     let Ok(body) = read_body(req.into_body(), MAX_CONFIG_BYTES).await else {
         return json_response(
             400,
@@ -70,6 +75,10 @@
             );
         }
     };
+    if !node.tier.admits(SUBMIT_TIME) {
+        let error = "the instance stops; nothing was changed";
+        return json_response(503, &json!({ "away": error }));
+    }
     match submit(node, ticket).await {
         SubmitResult::Accepted(version) => json_response(200, &json!({ "accepted": version })),
         SubmitResult::Refused(findings) => json_response(409, &json!({ "refused": findings })),
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -11,7 +11,7 @@
 use crate::coordination::gatherers::Spread;
 use crate::coordination::lag::Lag;
 use crate::coordination::latency_histogram::LatencyHistogram;
-use crate::coordination::lifecycle::{StopOptions, StopTimes};
+use crate::coordination::lifecycle::{StopOptions, StopTimes, Unfinished};
 use crate::coordination::limiter::Limiter;
 use crate::coordination::rate_limit::{LimitPart, LimitReport, RateLimit};
 use crate::coordination::reachability::{self, CutReport};
@@ -99,6 +99,15 @@
     }
 }
 
+/// Counts a change that an operator has sent as in progress until dropped.
+pub(crate) struct ChangeGuard(Arc<Tier>);
+
+impl Drop for ChangeGuard {
+    fn drop(&mut self) {
+        self.0.changes_in_progress.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Counts the shards of a gathered request as in flight until dropped.
 pub(crate) struct ShardsGuard(Arc<Tier>, usize);
 
@@ -197,6 +206,7 @@
     failing_tasks: AtomicUsize,
     requests_in_flight: AtomicUsize,
     gathers_in_flight: AtomicUsize,
+    changes_in_progress: AtomicUsize,
     role: Mutex<Role>,
     places: Mutex<Places>,
     sharded_requests: Mutex<SlidingWindow>,
@@ -231,6 +241,7 @@
             failing_tasks: AtomicUsize::new(0),
             requests_in_flight: AtomicUsize::new(0),
             gathers_in_flight: AtomicUsize::new(0),
+            changes_in_progress: AtomicUsize::new(0),
             role: Mutex::default(),
             places: Mutex::new(Places { among_all: rand::random(), in_role: rand::random() }),
             sharded_requests: Mutex::new(SlidingWindow::new(RECENT_WINDOW)),
@@ -389,9 +400,20 @@
         self.shards_in_flight.load(Ordering::Relaxed)
     }
 
-    /// Returns the number of requests in flight that are gathered for peers.
-    pub(crate) fn gathers_in_flight(&self) -> usize {
-        self.gathers_in_flight.load(Ordering::Relaxed)
+    /// Counts a change that an operator has sent as in progress until the guard is dropped.
+    pub(crate) fn track_change(self: &Arc<Self>) -> ChangeGuard {
+        self.changes_in_progress.fetch_add(1, Ordering::Relaxed);
+        ChangeGuard(self.clone())
+    }
+
+    /// Returns the work of this instance beside the connections of its callers that a planned stop waits for.
+    pub(crate) fn unfinished(&self) -> Unfinished {
+        Unfinished {
+            connections: 0,
+            requests: self.requests_in_flight(),
+            gathers: self.gathers_in_flight.load(Ordering::Relaxed),
+            changes: self.changes_in_progress.load(Ordering::Relaxed),
+        }
     }
 
     /// Records a caller's sharded request.
