A request with a key is in flight until its claim is settled

A request with an idempotency key runs on when its caller leaves, so that the claim gets its answer. It was in flight only as long as the caller's connection: a planned stop did not wait for it, and the claim stayed unsettled for good, so that a retry with the key is answered `unsettled` though the request has run. The limit on requests in flight did not count it either.

The guard that counts a request goes with its task.

`a_stop_finishes_what_operators_and_keyed_requests_have_begun`: the case failed before (the claim has no answer), and passes now.

--- a/src/transport/callers/api.rs
+++ b/src/transport/callers/api.rs
@@ -109,9 +109,9 @@
     service: &str,
     req: Request<Incoming>,
 ) -> Result<FullResponse, Refusal> {
-    let _in_flight = admit(node)?;
+    let in_flight = admit(node)?;
     let (options, body) = read_request(req).await?;
     refuse_late(node, service, &options)?;
-    let answer = once::run_request(node, service, options, body).await?;
+    let answer = once::run_request(node, service, options, body, in_flight).await?;
     Ok(json_response(200, &answer))
 }
--- a/src/transport/callers/once.rs
+++ b/src/transport/callers/once.rs
@@ -17,16 +17,18 @@
 use crate::state::hash;
 use crate::transport::callers::query::send_non_idempotent;
 use crate::transport::node::Node;
+use crate::transport::upstreams::tier::RequestGuard;
 
 /// Maximum size of an answer that is recorded for replay to a caller who repeats the request.
 const MAX_RECORDED_ANSWER_BYTES: usize = 64 << 10;
 
-/// Runs a non-idempotent request, at most once per idempotency key if it has one.
+/// Runs a non-idempotent request, at most once per idempotency key if it has one; it is in flight for as long as it runs.
 pub(crate) async fn run_request(
     node: &Arc<Node>,
     service: &str,
     options: RequestOptions,
     body: Bytes,
+    in_flight: RequestGuard,
 ) -> Result<RequestAnswer, Refusal> {
     let Some(key) = options.key.clone() else {
         let (shard, body) = send_non_idempotent(node, service, &options, body).await?;
@@ -38,6 +40,7 @@
     let (node, service) = (node.clone(), service.to_owned());
     // in its own task, so that the claim is settled even if the caller disconnects
     let request = tokio::spawn(async move {
+        let _in_flight = in_flight;
         KeyedRequest::new(node, service, key, &body).run(options, body).await
     });
     request.await.unwrap_or(Err(Refusal::OutcomeUnknown { reason: Fault::Lost }))
