A stop waits for a head no longer than callers may take for one

Half a head kept a stop until its end: after 5.5 s in place of three, though the operator allows `headerTimeoutMs` for a head. A closing instance now closes a connection whose head is not whole that long after its first byte, as one that has sent nothing that long after it was opened. The usual duration of a route is looked up only while the instance leaves.

--- a/src/coordination/connection.rs
+++ b/src/coordination/connection.rs
@@ -26,17 +26,18 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CallerConnection {
     phase: ConnectionPhase,
-    opened_at: Tick,
+    /// When it was opened, or the first byte of a head came.
+    since: Tick,
     /// Whether all of the answer was handed over to be written.
     is_answered: bool,
-    /// How long a caller may take for its first request, once a stop closes connections.
-    first_request_time: Option<Duration>,
+    /// How long a caller may take for a head, once a stop closes connections.
+    head_time: Option<Duration>,
 }
 
 impl CallerConnection {
     /// Opens a connection.
     pub fn open(now: Tick) -> Self {
-        Self { opened_at: now, ..Self::default() }
+        Self { since: now, ..Self::default() }
     }
 
     /// Returns what the connection is doing.
@@ -45,9 +46,10 @@
     }
 
     /// Records received bytes.
-    pub fn record_read(&mut self) {
+    pub fn record_read(&mut self, now: Tick) {
         if matches!(self.phase, ConnectionPhase::Fresh | ConnectionPhase::Idle) {
             self.phase = ConnectionPhase::Reading;
+            self.since = now;
         }
     }
 
@@ -69,18 +71,18 @@
         }
     }
 
-    /// Records that the instance closes its connections; a caller that has just opened one has `first_request_time` from then.
-    pub fn begin_close(&mut self, first_request_time: Duration) {
-        self.first_request_time = Some(first_request_time);
+    /// Records that the instance closes its connections; a caller has `head_time` for a head, from when it began or could have.
+    pub fn begin_close(&mut self, head_time: Duration) {
+        self.head_time = Some(head_time);
     }
 
     /// Returns from when on the connection is closed, unless something is received before: `None` while a request is under way.
     pub fn closes_at(&self) -> Option<Tick> {
-        let first_request_time = self.first_request_time?;
+        let head_time = self.head_time?;
         match self.phase {
-            ConnectionPhase::Fresh => Some(self.opened_at + first_request_time),
-            ConnectionPhase::Idle => Some(self.opened_at),
-            ConnectionPhase::Reading | ConnectionPhase::Busy => None,
+            ConnectionPhase::Fresh | ConnectionPhase::Reading => Some(self.since + head_time),
+            ConnectionPhase::Idle => Some(self.since),
+            ConnectionPhase::Busy => None,
         }
     }
 }
--- a/src/transport/callers/connection.rs
+++ b/src/transport/callers/connection.rs
@@ -44,7 +44,7 @@
         match Pin::new(&mut self.stream).poll_read(cx, buf) {
             Poll::Ready(result) => {
                 if buf.filled().len() > before {
-                    self.activity.lock().record_read();
+                    self.activity.lock().record_read(self.clock.now());
                 }
                 Poll::Ready(result)
             }
--- a/src/transport/callers/frontend.rs
+++ b/src/transport/callers/frontend.rs
@@ -194,18 +194,17 @@
         .max_buf_size(limits.max_header_bytes.max(MIN_HEADER_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut conn = std::pin::pin!(conn);
-    let close = async {
-        closing.cancelled().await;
-        activity.lock().begin_close(limits.header_timeout);
-    };
     let result = tokio::select! {
         result = conn.as_mut() => result,
-        () = close => {
-            let closes_at = activity.lock().closes_at();
-            tokio::select! {
-                result = conn.as_mut() => result,
-                () = clock.sleep_until(closes_at.unwrap_or_default()), if closes_at.is_some() => {
-                    conn.await // polled once more, it reads the end of the stream
+        () = closing.cancelled() => {
+            activity.lock().begin_close(limits.header_timeout);
+            loop {
+                // polled after that time, the connection reads the end of the stream
+                let closes_at = activity.lock().closes_at();
+                let polls_at = closes_at.map(|at| at.max(clock.now() + CLOSE_POLL_INTERVAL));
+                tokio::select! {
+                    result = conn.as_mut() => break result,
+                    () = clock.sleep_until(polls_at.unwrap_or_default()), if polls_at.is_some() => {}
                 }
             }
         }
--- a/src/transport/callers/proxy.rs
+++ b/src/transport/callers/proxy.rs
@@ -98,7 +98,7 @@
             BodyError::TooSlow => DeclineReason::TooSlow,
             BodyError::Broken => DeclineReason::Broken,
         })?;
-        if !self.tier.admits(self.usual_duration(route)) {
+        if self.tier.is_leaving() && !self.tier.admits(self.usual_duration(route)) {
             let id = caller_request.id.as_str();
             log::info!(request = id; "request refused because the stop would end before its answer");
             return Err(DeclineReason::NotRun { after: RETRY_AFTER_UNREACHABLE });
--- a/tests/lifecycle.rs
+++ b/tests/lifecycle.rs
@@ -163,11 +163,12 @@
     name: &'static str,
     events: &'static [Event],
     phase: ConnectionPhase,
-    /// From when on a stop closes the connection, in milliseconds, with three seconds for a first request.
+    /// From when on a stop closes the connection, in milliseconds, with three seconds for a head.
     closes_at: Option<u64>,
 }
 
 const OPENED_AT: u64 = 10_000;
+const READ_AT: u64 = 10_700;
 const PHASES: &[PhaseCase] = &[
     PhaseCase {
         name: "nothing received",
@@ -179,7 +180,7 @@
         name: "a part of a head",
         events: &[Event::Read],
         phase: ConnectionPhase::Reading,
-        closes_at: None,
+        closes_at: Some(READ_AT + 3_000),
     },
     PhaseCase {
         name: "a request is handled, and the rest of its body comes",
@@ -197,13 +198,13 @@
         name: "an answer is written",
         events: &[Event::Read, Event::Request, Event::Answer, Event::Flush],
         phase: ConnectionPhase::Idle,
-        closes_at: Some(OPENED_AT),
+        closes_at: Some(READ_AT),
     },
     PhaseCase {
         name: "a part of a second head",
         events: &[Event::Read, Event::Request, Event::Answer, Event::Flush, Event::Read],
         phase: ConnectionPhase::Reading,
-        closes_at: None,
+        closes_at: Some(READ_AT + 3_000),
     },
     PhaseCase {
         name: "a second request, while what was handed over before is written",
@@ -226,7 +227,7 @@
         let mut conn = CallerConnection::open(ms(OPENED_AT));
         for event in case.events {
             match event {
-                Event::Read => conn.record_read(),
+                Event::Read => conn.record_read(ms(READ_AT)),
                 Event::Request => conn.record_request(),
                 Event::Answer => conn.record_answer(),
                 Event::Flush => conn.record_flush(),
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -89,7 +89,7 @@
         }
         if self.script.answered_at.is_some_and(|time| now >= at(time)) {
             self.script.answered_at = None;
-            self.state.record_read();
+            self.state.record_read(ms(now));
             self.state.record_request();
             self.state.record_answer();
             self.state.record_flush();
@@ -101,12 +101,12 @@
         }
         if self.script.half_at.is_some_and(|time| now >= at(time)) {
             self.script.half_at = None;
-            self.state.record_read();
+            self.state.record_read(ms(now));
         }
         if self.script.whole_at.is_some_and(|time| now >= at(time)) {
             self.script.whole_at = None;
             self.was_read_whole = true;
-            self.state.record_read();
+            self.state.record_read(ms(now));
             self.state.record_request();
             if times.is_none_or(|times| times.admits(USUAL, ms(now))) {
                 self.sent = Sent::Running { until: now + self.script.work };
@@ -334,6 +334,11 @@
         script: Script { open_at: 1_000, ..SCRIPT },
         ends_within: 4_200,
     },
+    EndCase {
+        name: "half a head",
+        script: Script { open_at: 1_000, half_at: Some(1_200), ..SCRIPT },
+        ends_within: 4_400,
+    },
     EndCase {
         name: "a head that is whole after the listener closed",
         script: Script { open_at: 1_950, half_at: Some(1_950), whole_at: Some(2_900), ..SCRIPT },
