--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod latency_histogram;
 pub(crate) mod lifecycle;
 pub(crate) mod limiter;
+pub(crate) mod list_walk;
 pub(crate) mod once;
 pub(crate) mod outlier;
 pub(crate) mod peer_clock;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
     Closing, Instance, Leaving, Serving, Starting, StopOptions, StopTimes, Stopped, Unfinished,
 };
 pub use coordination::limiter::Limiter;
+pub use coordination::list_walk::{ListWalk, NextPage, PORTABLE_NAME_BYTES, PageName};
 pub use coordination::once::{
     Claim, ClaimAction, Expected, RecentClaims, Rewrite, Step, StoreEra, WriteOutcome,
     rewrite_step, settle_claim, step_after_create, step_after_read, step_before_create,
