--- a/tests/list_walk.rs
+++ b/tests/list_walk.rs
@@ -64,7 +64,12 @@
     [prefix.as_bytes(), &vec![b'x'; bytes]].concat()
 }
 
-/// Pages have four names.
+/// Returns a page of plain names, one of names that `middle` makes, and another plain one.
+fn between_plain_pages(middle: impl Fn(u8) -> Vec<u8>) -> Vec<Vec<u8>> {
+    let pages = numbered("e", PAGE_SIZE).chain((0..PAGE_SIZE as u8).map(middle));
+    pages.chain(numbered("g", PAGE_SIZE)).collect()
+}
+
 const PAGE_SIZE: usize = 4;
 const CASES: &[Case] = &[
     Case { name: "no names", names: Vec::new, calls: 1, seen: 0, is_whole: true },
@@ -91,36 +96,21 @@
     },
     Case {
         name: "all of a page are no text",
-        names: || {
-            numbered("e", 4)
-                .chain((0..4).map(|n| vec![b'f', 0xff, n]))
-                .chain(numbered("g", 4))
-                .collect()
-        },
+        names: || between_plain_pages(|n| vec![b'f', 0xff, n]),
         calls: 3,
         seen: 12,
         is_whole: true,
     },
     Case {
         name: "all of a page fit some requests",
-        names: || {
-            numbered("e", 4)
-                .chain((0..4).map(|n| long(&format!("f{n}"), LONG)))
-                .chain(numbered("g", 4))
-                .collect()
-        },
+        names: || between_plain_pages(|n| long(&format!("f{n}"), LONG)),
         calls: 3,
         seen: 12,
         is_whole: true,
     },
     Case {
         name: "all of a page fit no request",
-        names: || {
-            numbered("e", 4)
-                .chain((0..4).map(|n| long(&format!("f{n}"), TOO_LONG)))
-                .chain(numbered("g", 4))
-                .collect()
-        },
+        names: || between_plain_pages(|n| long(&format!("f{n}"), TOO_LONG)),
         calls: 2,
         seen: 8,
         is_whole: false,
