Crowds of callers that do not behave, as tests that fail on the code as it stands

These tests fix the crowds and the bounds before any product code changes: 14 crowds on the platform's listeners and 9 on those of tamarackd, against a machine of 64 MB, or of 300 descriptors where connections are what is scarce. They check that the process lives, that its peak resident memory and the bytes that its sockets have received stay within the machine, that its descriptors do, and that an ordinary request is answered beside the crowd and after it, twice in a row; no times and no shares. One crowd at a time.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the peers of the query tier: the platform, upstreams, callers and a load balancer.
 
+pub mod crowd;
 pub mod load;
 pub mod platform;
 pub mod requests;
@@ -8,6 +9,7 @@
 pub mod server;
 pub mod standstills;
 pub mod upstream;
+pub mod usage;
 
 /// Generates one async test per table of cases; each passes its table to `$run_all`.
 #[macro_export]
--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -39,6 +39,8 @@
     pub list_delay: Duration,
     /// Additional flags of every instance.
     pub flags: Vec<String>,
+    /// Environment variables of every instance; one that has no such setting ignores them.
+    pub env: Vec<(&'static str, String)>,
     pub quiet: bool,
 }
 
@@ -51,6 +53,7 @@
             policy: Policy::default(),
             list_delay: Duration::from_secs(1),
             flags: Vec::new(),
+            env: Vec::new(),
             quiet: true,
         }
     }
@@ -232,7 +235,8 @@
                 &self.platform.server.addr.to_string(),
             ])
             .args(["--seeds", &seeds.join(",")])
-            .args(&self.opts.flags);
+            .args(&self.opts.flags)
+            .envs(self.opts.env.iter().map(|(name, value)| (name, value)));
         if self.opts.quiet {
             command.args(["--log-level", "error"]);
         }
