--- a/standins/src/crowd.rs
+++ b/standins/src/crowd.rs
@@ -132,13 +132,19 @@
             Err(_) => tokio::time::sleep(RECONNECT_DELAY).await,
         }
     };
-    stream.set_nodelay(true).ok()?;
+    send(&mut stream, script).await.ok()?;
+    Some(stream)
+}
+
+/// Sends the pieces of a script.
+pub async fn send(stream: &mut TcpStream, script: &Script) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
     let mut pieces = script.pieces.iter().peekable();
     while let Some(bytes) = pieces.next() {
-        stream.write_all(bytes).await.ok()?;
+        stream.write_all(bytes).await?;
         if pieces.peek().is_some() && !script.pause.is_zero() {
             tokio::time::sleep(script.pause).await;
         }
     }
-    Some(stream)
+    Ok(())
 }
