--- a/src/coordination/connection.rs
+++ b/src/coordination/connection.rs
@@ -26,7 +26,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CallerConnection {
     phase: ConnectionPhase,
-    /// When it was opened, or the first byte of a head came.
+    /// When it was opened, the first byte of a head came, a byte of an answer was last written, or the last answer was.
     since: Tick,
     /// Whether all of the answer was handed over to be written.
     is_answered: bool,
@@ -45,12 +45,14 @@
         self.phase
     }
 
-    /// Records received bytes.
-    pub fn record_read(&mut self, now: Tick) {
-        if matches!(self.phase, ConnectionPhase::Fresh | ConnectionPhase::Idle) {
+    /// Records received bytes; returns whether they are the first ones of a head.
+    pub fn record_read(&mut self, now: Tick) -> bool {
+        let is_first = matches!(self.phase, ConnectionPhase::Fresh | ConnectionPhase::Idle);
+        if is_first {
             self.phase = ConnectionPhase::Reading;
             self.since = now;
         }
+        is_first
     }
 
     /// Records a whole head.
@@ -60,15 +62,19 @@
     }
 
     /// Records that all of an answer was handed over to be written.
-    pub fn record_answer(&mut self) {
+    pub fn record_answer(&mut self, now: Tick) {
         self.is_answered = true;
+        self.since = now;
     }
 
-    /// Records that all that was handed over is written.
-    pub fn record_flush(&mut self) {
-        if self.phase == ConnectionPhase::Busy && self.is_answered {
+    /// Records that all that was handed over is written; returns whether the connection is idle since.
+    pub fn record_flush(&mut self, now: Tick) -> bool {
+        let is_read = self.phase == ConnectionPhase::Busy && self.is_answered;
+        if is_read {
             self.phase = ConnectionPhase::Idle;
+            self.since = now;
         }
+        is_read
     }
 
     /// Records that the instance closes its connections; a caller has `head_time` for a head, from when it began or could have.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 //! can be replayed from a seed and used by another front end.
 
 pub(crate) mod attempt;
+pub(crate) mod caller_budget;
 pub(crate) mod connection;
 pub(crate) mod division;
 pub(crate) mod doc_fetch;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,10 @@
     Attempt, ConnectionUse, Dispatched, Fault, Label, NotRun, NotRunCode, Outcome, Pending,
     RawAnswer, Replied, UpstreamRefusal,
 };
+pub use coordination::caller_budget::{
+    CONNECTION_BYTES, CallerBudget, CallerBudgetOptions, Eviction, Grant, Machine, Opening,
+    UNREAD_BYTES,
+};
 pub use coordination::connection::{CallerConnection, ConnectionPhase};
 pub use coordination::division::{
     Division, RangeEnd, RangeProgress, RangeRatios, RangeRefusals, RangeStep, RangesDecision,
@@ -88,7 +92,9 @@
 pub use protocol::retry_after::{InvalidRetryAfter, parse_retry_after, retry_after_value};
 pub use protocol::upstream::{UpstreamCodec, parse_label, parse_load};
 pub use protocol::uri::encode_uri_component;
-pub use state::arena::{Arena, Key, PoolKey, RouteKey, ServerKey, ServiceKey, UpstreamKey};
+pub use state::arena::{
+    Arena, CallerKey, Key, PoolKey, RouteKey, ServerKey, ServiceKey, UpstreamKey,
+};
 pub use state::beliefs::Beliefs;
 pub use state::catalog::{Catalog, ServiceEntry, ShardEntry, ShardMapEntry};
 pub use state::docs::{ApplyOutcome, Doc, DocDelta, DocStore};
@@ -106,6 +112,7 @@
 pub use state::ticket::{Removals, Ticket};
 pub use state::time::Tick;
 pub use state::topology::{Server, ServerReport, Topology, TopologyView};
+pub use transport::admission::{Receiving, RequestHold, Working};
 pub use transport::callers::frontend::{
     Arrival, Handler, readiness_response, serve as serve_callers,
 };
@@ -121,6 +128,7 @@
 pub use transport::peers::{DocHandler, PeerOptions, Peers};
 pub use transport::process::daemon::run;
 pub use transport::process::logging::{LogOptions, init as init_log, render as render_log};
+pub use transport::segments::SegmentedBody;
 pub use transport::settings::{Command, LogFormat, Settings};
 pub use transport::store::http::HttpPlatform;
 pub use transport::store::memory::MemoryPlatform;
--- a/src/protocol/codec.rs
+++ b/src/protocol/codec.rs
@@ -127,6 +127,8 @@
     TooSlow,
     /// The body ended early.
     Broken,
+    /// There is no room for the body among what is held for callers; it has not run.
+    NoRoom,
     /// The request has not run and will not run; a retry may succeed.
     NotRun {
         /// Time after which to retry.
@@ -148,6 +150,7 @@
             DeclineReason::TooLarge => "too_large",
             DeclineReason::TooSlow => "too_slow",
             DeclineReason::Broken => "broken_body",
+            DeclineReason::NoRoom => "no_room",
             DeclineReason::NotRun { .. } => "not_run",
             DeclineReason::Failed => "failed",
             DeclineReason::TimedOut => "timed_out",
--- a/src/state/arena.rs
+++ b/src/state/arena.rs
@@ -43,6 +43,8 @@
     RouteKey;
     /// Key of one run of one server; a restarted server gets a new key.
     ServerKey;
+    /// Key of an open connection of a caller.
+    CallerKey;
 }
 
 #[derive(Clone)]
--- a/src/state/sharded_map.rs
+++ b/src/state/sharded_map.rs
@@ -41,6 +41,11 @@
         f(self.shard(key).lock().entry(key).or_insert_with(make))
     }
 
+    /// Removes an item.
+    pub fn remove(&self, key: K) -> Option<T> {
+        self.shard(key).lock().swap_remove(&key)
+    }
+
     /// Keeps only the items whose keys `keep` accepts.
     pub fn retain(&self, mut keep: impl FnMut(K) -> bool) {
         for shard in &self.shards {
--- a/src/transport/callers/api.rs
+++ b/src/transport/callers/api.rs
@@ -10,9 +10,12 @@
 use crate::coordination::attempt::{Fault, NotRunCode};
 use crate::protocol::caller::{MAX_BODY_BYTES, QueryAnswer, Refusal, RequestOptions};
 use crate::protocol::retry_after::retry_after_value;
+use crate::transport::admission::{Receiving, RequestHold, Working};
 use crate::transport::callers::frontend::{Arrival, Handler};
 use crate::transport::callers::{once, query};
-use crate::transport::http::{BodyError, FullResponse, json_response, read_body, text_response};
+use crate::transport::http::{
+    BodyError, FullResponse, READ_TIMEOUT, json_response, read_body, text_response,
+};
 use crate::transport::node::Node;
 use crate::transport::upstreams::tier::RequestGuard;
 
@@ -24,8 +27,9 @@
         self: Arc<Self>,
         req: Request<Incoming>,
         _: Arrival,
+        hold: RequestHold<Receiving>,
     ) -> impl Future<Output = FullResponse> + Send {
-        handle_request(self.0.clone(), req)
+        handle_request(self.0.clone(), req, hold)
     }
 
     fn give_up(&self) -> FullResponse {
@@ -52,12 +56,16 @@
 }
 
 /// Routes a request by method and path; a refusal becomes a JSON response.
-async fn handle_request(node: Arc<Node>, req: Request<Incoming>) -> FullResponse {
+async fn handle_request(
+    node: Arc<Node>,
+    req: Request<Incoming>,
+    hold: RequestHold<Receiving>,
+) -> FullResponse {
     let path = req.uri().path().to_owned();
     let response =
         match (req.method(), path.strip_prefix("/v1/query/"), path.strip_prefix("/v1/request/")) {
-            (&Method::POST, Some(service), _) => answer_query(&node, service, req).await,
-            (&Method::POST, _, Some(service)) => answer_request(&node, service, req).await,
+            (&Method::POST, Some(service), _) => answer_query(&node, service, req, hold).await,
+            (&Method::POST, _, Some(service)) => answer_request(&node, service, req, hold).await,
             (_, None, None) => return text_response(404, "no such path; see docs/API.md\n"),
             _ => return text_response(405, "use POST\n"),
         };
@@ -73,24 +81,31 @@
     res
 }
 
-async fn read_request(req: Request<Incoming>) -> Result<(RequestOptions, Bytes), Refusal> {
+async fn read_request(
+    req: Request<Incoming>,
+    hold: RequestHold<Receiving>,
+) -> Result<(RequestOptions, Bytes, RequestHold<Working>), Refusal> {
     let options = RequestOptions::from_headers(req.headers())
         .map_err(|detail| Refusal::BadRequest { detail })?;
-    let body = read_body(req.into_body(), MAX_BODY_BYTES).await.map_err(|e| match e {
+    let time_left = options.deadline.unwrap_or(READ_TIMEOUT);
+    let received = read_body(req.into_body(), MAX_BODY_BYTES, time_left, hold).await;
+    let (body, hold) = received.map_err(|e| match e {
         BodyError::TooLarge => Refusal::TooLarge { most: MAX_BODY_BYTES },
         BodyError::TooSlow => Refusal::TooSlow,
         BodyError::Broken => Refusal::BadRequest { detail: "the body ended early".into() },
+        BodyError::NoRoom => Refusal::not_run(NotRunCode::Overloaded),
     })?;
-    Ok((options, body))
+    Ok((options, body, hold))
 }
 
 async fn answer_query(
     node: &Arc<Node>,
     service: &str,
     req: Request<Incoming>,
+    hold: RequestHold<Receiving>,
 ) -> Result<FullResponse, Refusal> {
     let _in_flight = admit(node)?;
-    let (options, body) = read_request(req).await?;
+    let (options, body, _hold) = read_request(req, hold).await?;
     if options.key.is_some() {
         let detail = "idempotency-key: queries are idempotent and take none".into();
         return Err(Refusal::BadRequest { detail });
@@ -108,9 +123,10 @@
     node: &Arc<Node>,
     service: &str,
     req: Request<Incoming>,
+    hold: RequestHold<Receiving>,
 ) -> Result<FullResponse, Refusal> {
     let in_flight = admit(node)?;
-    let (options, body) = read_request(req).await?;
+    let (options, body, _hold) = read_request(req, hold).await?;
     refuse_late(node, service, &options)?;
     let answer = once::run_request(node, service, options, body, in_flight).await?;
     Ok(json_response(200, &answer))
--- a/src/transport/callers/frontend.rs
+++ b/src/transport/callers/frontend.rs
@@ -12,16 +12,15 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::coordination::connection::CallerConnection;
 use crate::coordination::lag::SAMPLE_INTERVAL as LAG_SAMPLE_INTERVAL;
 use crate::coordination::lifecycle::{Closing, Instance, Starting, Unfinished};
 use crate::state::time::Tick;
-use crate::transport::callers::connection::{Activity, TrackedBody, TrackedStream};
+use crate::transport::admission::{Admission, End, Hold, Receiving, RequestHold, drive};
+use crate::transport::connection::{TrackedStream, track_answer};
 use crate::transport::http::{AbortOnDrop, FullResponse};
 use crate::transport::supervisor::Supervisor;
 use crate::transport::upstreams::connection_pool::set_socket_options;
@@ -50,6 +49,7 @@
         self: Arc<Self>,
         req: Request<Incoming>,
         arrival: Arrival,
+        hold: RequestHold<Receiving>,
     ) -> impl Future<Output = FullResponse> + Send;
 
     /// Returns the response to a request that is given up while it is handled; it may have run.
@@ -84,6 +84,7 @@
     let shared = Arc::new(Shared { tier: tier.clone(), handler, closing, giving_up, tasks });
     let sampled = tier.clone();
     let _lag_sampler = AbortOnDrop(supervisor.spawn("lag", move || sample_lag(sampled.clone())));
+    Admission::bound_sockets(&listener);
     tokio::select! {
         () = accept_connections(&listener, &shared) => {}
         () = stop.cancelled() => {}
@@ -103,7 +104,7 @@
     };
     // the system resets those that still wait once the listener is closed
     while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        shared.tasks.spawn(serve_connection(shared.clone(), stream));
+        admit(&shared, stream).await;
     }
     drop(listener);
     shared.closing.cancel();
@@ -128,9 +129,7 @@
 async fn accept_connections(listener: &TcpListener, shared: &Arc<Shared<impl Handler>>) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                shared.tasks.spawn(serve_connection(shared.clone(), stream));
-            }
+            Ok((stream, _)) => admit(shared, stream).await,
             Err(e) => {
                 log::warn!("cannot accept a connection from a caller: {e}");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -167,50 +166,47 @@
     }
 }
 
-async fn serve_connection(shared: Arc<Shared<impl Handler>>, stream: TcpStream) {
+/// Serves a connection, or closes it if there is no room for it.
+async fn admit(shared: &Arc<Shared<impl Handler>>, stream: TcpStream) {
+    let limits = shared.tier.view().route_table.as_ref().map(|t| t.limits).unwrap_or_default();
+    if let Some(hold) = shared.tier.admission.open(limits).await {
+        shared.tasks.spawn(serve_connection(shared.clone(), stream, hold));
+    }
+}
+
+async fn serve_connection(shared: Arc<Shared<impl Handler>>, stream: TcpStream, hold: Arc<Hold>) {
     if let Err(e) = set_socket_options(&stream) {
         log::debug!("cannot set socket options of a caller's connection: {e}");
         return;
     }
-    let (tier, clock) = (shared.tier.clone(), shared.tier.clock());
-    let limits = tier.view().route_table.as_ref().map(|t| t.limits).unwrap_or_default();
-    let activity = Activity::new(Mutex::new(CallerConnection::open(clock.now())));
+    let tier = shared.tier.clone();
     let is_first = AtomicBool::new(true);
-    let (closing, handled) = (shared.closing.clone(), activity.clone());
+    let (closing, handled) = (shared.closing.clone(), hold.clone());
     let service = service_fn(move |req: Request<Incoming>| {
-        handled.lock().record_request();
+        let request_hold = handled.record_request();
         let arrived_at = tier.lag.lock().arrival(tier.now());
         let arrival = Arrival { arrived_at, is_first: is_first.swap(false, Ordering::Relaxed) };
-        let (shared, activity) = (shared.clone(), handled.clone());
+        let (shared, hold) = (shared.clone(), handled.clone());
         async move {
-            let res = respond(&shared, req, arrival).await;
-            Ok::<_, Infallible>(res.map(|body| TrackedBody::new(body, activity)))
+            let res = respond(&shared, req, arrival, request_hold).await;
+            Ok::<_, Infallible>(track_answer(res, hold))
         }
     });
-    let stream = TrackedStream::new(stream, activity.clone(), clock);
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
-        .max_buf_size(limits.max_header_bytes.max(MIN_HEADER_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .header_read_timeout(hold.limits().idle_timeout.max(hold.limits().header_timeout))
+        .max_buf_size(hold.limits().max_header_bytes.max(MIN_HEADER_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(TrackedStream::new(stream, hold.clone())), service);
     let mut conn = std::pin::pin!(conn);
-    let result = tokio::select! {
-        result = conn.as_mut() => result,
+    let end = tokio::select! {
+        end = drive(conn.as_mut(), &hold) => end,
         () = closing.cancelled() => {
-            activity.lock().begin_close(limits.header_timeout);
-            loop {
-                // polled after that time, the connection reads the end of the stream
-                let closes_at = activity.lock().closes_at();
-                let polls_at = closes_at.map(|at| at.max(clock.now() + CLOSE_POLL_INTERVAL));
-                tokio::select! {
-                    result = conn.as_mut() => break result,
-                    () = clock.sleep_until(polls_at.unwrap_or_default()), if polls_at.is_some() => {}
-                }
-            }
+            hold.begin_close();
+            drive(conn.as_mut(), &hold).await
         }
     };
-    if let Err(e) = result {
-        log::debug!("caller's connection closed with an error: {e}");
+    if !matches!(end, End::Closed(Ok(()))) {
+        log::debug!("caller's connection closed: {end:?}");
     }
 }
 
@@ -218,10 +214,11 @@
     shared: &Shared<impl Handler>,
     req: Request<Incoming>,
     arrival: Arrival,
+    hold: RequestHold<Receiving>,
 ) -> FullResponse {
     let response = tokio::select! {
         biased;
-        response = shared.handler.clone().handle(req, arrival) => response,
+        response = shared.handler.clone().handle(req, arrival, hold) => response,
         () = shared.giving_up.cancelled() => shared.handler.give_up(),
     };
     close_if_not_ready(&shared.tier, response)
--- a/src/transport/callers/mod.rs
+++ b/src/transport/callers/mod.rs
@@ -1,7 +1,6 @@
 //! Communication with callers: the listener, the reverse proxy for routes, and the HTTP API.
 
 pub(crate) mod api;
-pub(crate) mod connection;
 pub(crate) mod divide;
 pub(crate) mod forward;
 pub(crate) mod frontend;
--- a/src/transport/callers/proxy.rs
+++ b/src/transport/callers/proxy.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response};
@@ -17,9 +16,11 @@
 use crate::state::arena::PoolKey;
 use crate::state::routes::{Route, RouteTable, ScatterGather, Target};
 use crate::state::time::Tick;
+use crate::transport::admission::{Receiving, RequestHold};
 use crate::transport::callers::frontend::{Arrival, Handler};
 use crate::transport::http::{BodyError, FullResponse, read_body};
 use crate::transport::peers::Peers;
+use crate::transport::segments::SegmentedBody;
 use crate::transport::upstreams::run::{Gathered, GivenUp, Job, run};
 use crate::transport::upstreams::send::Answer;
 use crate::transport::upstreams::tier::{RouteStats, Tier};
@@ -48,12 +49,17 @@
         Self { tier, codec, peers }
     }
 
-    async fn handle_request(&self, req: Request<Incoming>, arrival: Arrival) -> FullResponse {
+    async fn handle_request(
+        &self,
+        req: Request<Incoming>,
+        arrival: Arrival,
+        hold: RequestHold<Receiving>,
+    ) -> FullResponse {
         let _in_flight = self.tier.track_request();
         let caller_request = self.codec.parse_request(req.headers());
         let id = caller_request.as_ref().map_or("-", |r| r.id.as_str()).to_owned();
         let result = match caller_request {
-            Some(caller_request) => self.proxy_request(req, caller_request, arrival).await,
+            Some(caller_request) => self.proxy_request(req, caller_request, arrival, hold).await,
             None => Err(DeclineReason::NoId),
         };
         let took = self.tier.now().since(arrival.arrived_at);
@@ -69,7 +75,7 @@
 
     fn decline_response(&self, reason: DeclineReason) -> FullResponse {
         let (status, headers) = self.codec.decline_response(reason);
-        let mut res = Response::new(Full::default());
+        let mut res = Response::new(SegmentedBody::default());
         *res.status_mut() = status;
         *res.headers_mut() = headers;
         res
@@ -80,6 +86,7 @@
         req: Request<Incoming>,
         caller_request: CallerRequest,
         arrival: Arrival,
+        hold: RequestHold<Receiving>,
     ) -> Result<FullResponse, DeclineReason> {
         let view = self.tier.view();
         let table = view.route_table.clone().ok_or(DeclineReason::NoRoutes)?;
@@ -93,10 +100,13 @@
             return Err(DeclineReason::NotRun { after: RETRY_AFTER_UNREACHABLE });
         }
         let (head, body) = req.into_parts();
-        let body = read_body(body, table.limits.max_body_bytes).await.map_err(|e| match e {
+        let time_left = caller_request.timeout.unwrap_or(route.timeout).min(route.timeout);
+        let received = read_body(body, table.limits.max_body_bytes, time_left, hold).await;
+        let (body, _hold) = received.map_err(|e| match e {
             BodyError::TooLarge => DeclineReason::TooLarge,
             BodyError::TooSlow => DeclineReason::TooSlow,
             BodyError::Broken => DeclineReason::Broken,
+            BodyError::NoRoom => DeclineReason::NoRoom,
         })?;
         if self.tier.is_leaving() && !self.tier.admits(self.usual_duration(route)) {
             let id = caller_request.id.as_str();
@@ -217,13 +227,13 @@
 
     /// Builds the response to a sharded request.
     pub(crate) fn gathered_response(&self, parts: GatheredParts) -> FullResponse {
-        let mut res = Response::new(Full::new(parts.body));
+        let mut res = Response::new(SegmentedBody::from(parts.body));
         *res.headers_mut() = self.codec.gathered_headers(&parts.signatures, parts.missing);
         res
     }
 
     fn server_response(&self, answer: Answer) -> FullResponse {
-        let mut res = Response::new(Full::new(answer.body));
+        let mut res = Response::new(answer.body);
         *res.status_mut() = answer.status;
         *res.headers_mut() = self.codec.forwarded_response_headers(&answer.headers);
         res
@@ -283,7 +293,7 @@
 ) -> GatheredParts {
     let parts = || gathered.parts.iter().map(|(_, a)| a);
     let signatures = parts().filter_map(|a| a.signature.clone()).collect();
-    let bodies: Vec<Bytes> = parts().map(|a| a.body.clone()).collect();
+    let bodies: Vec<Bytes> = parts().map(|a| a.body.to_bytes()).collect();
     let body = top_records::top_records(&bodies, record_size, gathering.top_k);
     GatheredParts { body, signatures, missing: gathered.missing.len() }
 }
@@ -295,8 +305,13 @@
 }
 
 impl<C: CallerCodec> Handler for Proxy<C> {
-    async fn handle(self: Arc<Self>, req: Request<Incoming>, arrival: Arrival) -> FullResponse {
-        Proxy::handle_request(&self, req, arrival).await
+    async fn handle(
+        self: Arc<Self>,
+        req: Request<Incoming>,
+        arrival: Arrival,
+        hold: RequestHold<Receiving>,
+    ) -> FullResponse {
+        Proxy::handle_request(&self, req, arrival, hold).await
     }
 
     fn give_up(&self) -> FullResponse {
--- a/src/transport/callers/query.rs
+++ b/src/transport/callers/query.rs
@@ -180,7 +180,11 @@
     let shard_name = |index: usize| map.shards[index].name.clone();
     Answer {
         snapshot,
-        parts: gathered.parts.into_iter().map(|(n, a)| (shard_name(n), a.body)).collect(),
+        parts: gathered
+            .parts
+            .into_iter()
+            .map(|(n, a)| (shard_name(n), a.body.to_bytes()))
+            .collect(),
         missing: gathered.missing.into_iter().map(|(n, reason)| (shard_name(n), reason)).collect(),
         total: map.shards.len(),
     }
@@ -289,7 +293,9 @@
     let job = new_job(node, entry, request, vec![label.to_string()], body, opts);
     let view = node.tier.view();
     match run(&node.tier, &view, job).await {
-        Ok(mut gathered) => Ok((shard.name.clone(), gathered.parts.swap_remove(0).1.body)),
+        Ok(mut gathered) => {
+            Ok((shard.name.clone(), gathered.parts.swap_remove(0).1.body.to_bytes()))
+        }
         Err(given_up) => Err(into_refusal(given_up)),
     }
 }
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -6,17 +6,14 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
-use http_body_util::Full;
+use hyper::Response;
 use hyper::body::{Body, Frame, SizeHint};
-use parking_lot::Mutex;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use crate::coordination::connection::CallerConnection;
-use crate::transport::clock::Clock;
-
-/// What a connection is doing, as its socket, its handler and its answers record it.
-pub(crate) type Activity = Arc<Mutex<CallerConnection>>;
+use crate::transport::admission::Hold;
+use crate::transport::http::FullResponse;
+use crate::transport::segments::SegmentedBody;
 
 /// A socket that records what is read and written.
 ///
@@ -24,13 +21,12 @@
 /// had closed it, and closes it in order.
 pub(crate) struct TrackedStream {
     stream: TcpStream,
-    activity: Activity,
-    clock: Clock,
+    hold: Arc<Hold>,
 }
 
 impl TrackedStream {
-    pub(crate) fn new(stream: TcpStream, activity: Activity, clock: Clock) -> Self {
-        Self { stream, activity, clock }
+    pub(crate) fn new(stream: TcpStream, hold: Arc<Hold>) -> Self {
+        Self { stream, hold }
     }
 }
 
@@ -44,17 +40,12 @@
         match Pin::new(&mut self.stream).poll_read(cx, buf) {
             Poll::Ready(result) => {
                 if buf.filled().len() > before {
-                    self.activity.lock().record_read(self.clock.now());
+                    self.hold.record_read();
                 }
                 Poll::Ready(result)
             }
-            Poll::Pending => {
-                let closes_at = self.activity.lock().closes_at();
-                match closes_at {
-                    Some(at) if at <= self.clock.now() => Poll::Ready(Ok(())),
-                    _ => Poll::Pending,
-                }
-            }
+            Poll::Pending if self.hold.is_closing() => Poll::Ready(Ok(())),
+            Poll::Pending => Poll::Pending,
         }
     }
 }
@@ -83,7 +74,7 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         // the HTTP library flushes once it has written all that it holds
         ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
-        self.activity.lock().record_flush();
+        self.hold.record_flush();
         Poll::Ready(Ok(()))
     }
 
@@ -92,27 +83,27 @@
     }
 }
 
-/// The body of an answer, which records that all of it was handed over to be written.
-pub(crate) struct TrackedBody {
-    body: Full<Bytes>,
-    activity: Activity,
+/// Records an answer.
+pub(crate) fn track_answer(res: FullResponse, hold: Arc<Hold>) -> Response<TrackedBody> {
+    hold.begin_answer(0);
+    res.map(|body| TrackedBody { body, hold })
 }
 
-impl TrackedBody {
-    pub(crate) fn new(body: Full<Bytes>, activity: Activity) -> Self {
-        Self { body, activity }
-    }
+/// The body of an answer, which records that all of it was handed over to be written.
+pub(crate) struct TrackedBody {
+    body: SegmentedBody,
+    hold: Arc<Hold>,
 }
 
 impl Drop for TrackedBody {
     fn drop(&mut self) {
-        self.activity.lock().record_answer();
+        self.hold.record_answer();
     }
 }
 
 impl Body for TrackedBody {
     type Data = Bytes;
-    type Error = <Full<Bytes> as Body>::Error;
+    type Error = <SegmentedBody as Body>::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -21,17 +21,32 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-/// Time limit for receiving the headers of a request, and again for its body.
-const READ_TIMEOUT: Duration = Duration::from_secs(5);
+use crate::coordination::caller_budget::CallerBudgetOptions;
+use crate::coordination::tickets::MAX_CONFIG_BYTES;
+use crate::state::routes::CallerLimits;
+use crate::transport::admission::{
+    Admission, Hold, NoRoom, Receiving, RequestHold, Working, drive,
+};
+use crate::transport::connection::{TrackedStream, track_answer};
+use crate::transport::segments::{SegmentedBody, Segments};
+use crate::transport::upstreams::tier::Tier;
+
+/// Time limit for receiving the headers of a request, and again for its body if the request has no time limit of its own.
+pub(crate) const READ_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum size of a reply that a client accepts, in bytes.
 const MAX_REPLY_BYTES: usize = 8 << 20;
 
+/// Limits of connections to the listeners for operators, the load balancer and metrics.
+const LISTENER_LIMITS: CallerLimits = CallerLimits {
+    max_header_bytes: 16 << 10,
+    max_body_bytes: MAX_CONFIG_BYTES,
+    header_timeout: READ_TIMEOUT,
+    idle_timeout: READ_TIMEOUT,
+};
+
 /// Size of the read buffer of a client's connection, which bounds the head of a reply, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
-/// Size of a segment of an incomplete reply, in bytes; small, since replies in several frames take at least one each.
-const SEGMENT_BYTES: usize = 4 << 10;
-
 /// Returns the settings of connections to servers, which bound the memory that a reply takes before it is read.
 pub(crate) fn client_builder() -> http1::Builder {
     let mut builder = http1::Builder::new();
@@ -40,7 +55,7 @@
 }
 
 /// A response with a complete body.
-pub type FullResponse = Response<Full<Bytes>>;
+pub type FullResponse = Response<SegmentedBody>;
 
 /// Why a request body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,19 +63,50 @@
     TooLarge,
     TooSlow,
     Broken,
+    /// There is no room for it among what is held for callers.
+    NoRoom,
 }
 
-/// Reads a complete body of at most `max_bytes` bytes.
-pub(crate) async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, BodyError> {
-    let collected = Limited::new(body, max_bytes).collect();
-    match tokio::time::timeout(READ_TIMEOUT, collected).await {
-        Err(_) => Err(BodyError::TooSlow),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(BodyError::TooLarge),
-        Ok(Err(_)) => Err(BodyError::Broken),
+impl From<NoRoom> for BodyError {
+    fn from(_: NoRoom) -> Self {
+        Self::NoRoom
     }
 }
 
+/// Reads a complete body of at most `max_bytes` bytes within `time_left`.
+///
+/// It is copied into segments of one size, whatever the size of its frames is: each frame of a few bytes would keep a whole read
+/// buffer, and a record of its own.
+pub(crate) async fn read_body(
+    mut body: Incoming,
+    max_bytes: usize,
+    time_left: Duration,
+    hold: RequestHold<Receiving>,
+) -> Result<(Bytes, RequestHold<Working>), BodyError> {
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(BodyError::TooLarge);
+    }
+    let receive = async {
+        let (mut received, mut segments) = (0, Segments::default());
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(|_| BodyError::Broken)?.into_data() else { continue };
+            received += data.len();
+            if received > max_bytes {
+                return Err(BodyError::TooLarge);
+            }
+            hold.receive(segments.growth(data.len())).await?;
+            segments.push(&data);
+        }
+        Ok(segments.concat())
+    };
+    let body = tokio::select! {
+        received = tokio::time::timeout(time_left, receive) => received.map_err(|_| BodyError::TooSlow)??,
+        () = hold.given_up() => return Err(BodyError::NoRoom),
+    };
+    let hold = hold.whole(body.len()).await?;
+    Ok((body, hold))
+}
+
 /// Builds a JSON response.
 pub(crate) fn json_response(status: u16, value: &impl Serialize) -> FullResponse {
     let body = serde_json::to_vec(value).unwrap_or_default();
@@ -73,19 +119,28 @@
 }
 
 fn respond(status: u16, content_type: &'static str, body: Bytes) -> FullResponse {
-    let mut res = Response::new(Full::new(body));
+    let mut res = Response::new(SegmentedBody::from(body));
     *res.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     res.headers_mut().insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static(content_type));
     res
 }
 
 /// Serves HTTP until `stop` is cancelled, then finishes the requests in flight.
-pub async fn serve<F, R>(listener: impl Into<Arc<TcpListener>>, stop: CancellationToken, handler: F)
-where
-    F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
+///
+/// What is held for the connections is a budget of the listener's own, which no crowd at another listener uses up.
+pub async fn serve<F, R>(
+    tier: Arc<Tier>,
+    listener: impl Into<Arc<TcpListener>>,
+    stop: CancellationToken,
+    handler: F,
+) where
+    F: Fn(Request<Incoming>, RequestHold<Receiving>) -> R + Send + Sync + 'static,
     R: Future<Output = FullResponse> + Send + 'static,
 {
     let (listener, handler) = (listener.into(), Arc::new(handler));
+    let opts = CallerBudgetOptions::for_listener(tier.opts.machine);
+    let admission = Arc::new(tier.new_admission(opts));
+    Admission::bound_sockets(&listener);
     let tasks = TaskTracker::new();
     loop {
         let stream = tokio::select! {
@@ -99,44 +154,52 @@
             },
             () = stop.cancelled() => break,
         };
-        tasks.spawn(serve_connection(stream, stop.clone(), handler.clone()));
+        if let Some(hold) = admission.open(LISTENER_LIMITS).await {
+            tasks.spawn(serve_connection(stream, hold, stop.clone(), handler.clone()));
+        }
     }
     drop(listener);
     tasks.close();
     tasks.wait().await;
 }
 
-async fn serve_connection<F, R>(stream: TcpStream, stop: CancellationToken, handler: Arc<F>)
-where
-    F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
+async fn serve_connection<F, R>(
+    stream: TcpStream,
+    hold: Arc<Hold>,
+    stop: CancellationToken,
+    handler: Arc<F>,
+) where
+    F: Fn(Request<Incoming>, RequestHold<Receiving>) -> R + Send + Sync + 'static,
     R: Future<Output = FullResponse> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
+    let handled = hold.clone();
     let service = service_fn(move |req| {
-        let answer = handler(req);
-        async move { Ok::<_, Infallible>(answer.await) }
+        let (answer, hold) = (handler(req, handled.record_request()), handled.clone());
+        async move { Ok::<_, Infallible>(track_answer(answer.await, hold)) }
     });
     let conn = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(READ_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), service);
+        .max_buf_size(LISTENER_LIMITS.max_header_bytes)
+        .serve_connection(TokioIo::new(TrackedStream::new(stream, hold.clone())), service);
     let mut conn = std::pin::pin!(conn);
     tokio::select! {
-        _ = conn.as_mut() => return,
+        _ = drive(conn.as_mut(), &hold) => return,
         () = stop.cancelled() => conn.as_mut().graceful_shutdown(),
     }
-    let _ = conn.await;
+    drive(conn.as_mut(), &hold).await;
 }
 
 /// A reply received by a client of this module.
 #[derive(Clone, Debug)]
-pub struct Reply {
+pub struct Reply<B = Bytes> {
     /// HTTP status code.
     pub status: u16,
     /// Headers.
     pub headers: HeaderMap,
     /// Complete body.
-    pub body: Bytes,
+    pub body: B,
 }
 
 /// Sends a `GET` request on a new connection.
@@ -199,7 +262,9 @@
         let buffers = ReplyBuffers::new(MAX_REPLY_BYTES);
         let exchange = async {
             let res = self.send.send_request(req).await?;
-            anyhow::Ok(read_reply(res, MAX_REPLY_BYTES, &buffers).await?)
+            let Reply { status, headers, body } =
+                read_reply(res, MAX_REPLY_BYTES, &buffers).await?;
+            anyhow::Ok(Reply { status, headers, body: body.to_bytes() })
         };
         tokio::time::timeout(timeout, exchange).await.context("no answer in time")?
     }
@@ -248,48 +313,12 @@
     }
 }
 
-/// The body of an incomplete reply, copied into segments of one size.
-///
-/// A buffer that doubles would hold up to twice the bytes that are counted, and leave free blocks of all sizes behind.
-#[derive(Default)]
-struct Segments(Vec<BytesMut>);
-
-impl Segments {
-    /// Appends `data` and returns the number of bytes allocated for it.
-    fn push(&mut self, mut data: &[u8]) -> usize {
-        let mut allocated = 0;
-        while !data.is_empty() {
-            match self.0.last_mut().filter(|last| last.len() < SEGMENT_BYTES) {
-                Some(last) => {
-                    let (head, rest) = data.split_at(data.len().min(SEGMENT_BYTES - last.len()));
-                    last.extend_from_slice(head);
-                    data = rest;
-                }
-                None => {
-                    self.0.push(BytesMut::with_capacity(SEGMENT_BYTES));
-                    allocated += SEGMENT_BYTES;
-                }
-            }
-        }
-        allocated
-    }
-
-    /// Returns the whole body; frees each segment as soon as it is copied.
-    fn concat(self) -> Bytes {
-        let mut body = BytesMut::with_capacity(self.0.iter().map(BytesMut::len).sum());
-        for segment in self.0 {
-            body.extend_from_slice(&segment);
-        }
-        body.freeze()
-    }
-}
-
 /// Reads the complete reply to a request; fails as soon as it is known to exceed `max_bytes`.
 pub(crate) async fn read_reply(
     res: Response<Incoming>,
     max_bytes: usize,
     buffers: &ReplyBuffers,
-) -> Result<Reply, ReplyError> {
+) -> Result<Reply<SegmentedBody>, ReplyError> {
     let (parts, mut incoming) = res.into_parts();
     if incoming.size_hint().lower() > max_bytes as u64 {
         return Err(ReplyError::TooLarge);
@@ -307,13 +336,16 @@
             first = data;
             received
         } else {
-            segments.push(&std::mem::take(&mut first)) + segments.push(&data)
+            let allocated = segments.growth(first.len() + data.len());
+            segments.push(&std::mem::take(&mut first));
+            segments.push(&data);
+            allocated
         };
         if !held.add(allocated) {
             return Err(ReplyError::TooLarge);
         }
     }
-    let body = if segments.0.is_empty() { first } else { segments.concat() };
+    let body = if received == first.len() { first.into() } else { segments.into() };
     Ok(Reply { status: parts.status.as_u16(), headers: parts.headers, body })
 }
 
--- a/src/transport/metrics.rs
+++ b/src/transport/metrics.rs
@@ -24,6 +24,9 @@
     pub(crate) platform_calls: IntCounterVec,
     pub(crate) store_lists: IntCounterVec,
     pub(crate) task_ends: IntCounterVec,
+    pub(crate) callers_given_up: IntCounterVec,
+    pub(crate) caller_bytes: IntGauge,
+    pub(crate) caller_connections: IntGauge,
     pub(crate) link_bytes: IntGauge,
     pub(crate) config_version: IntGauge,
     pub(crate) requests_in_flight: IntGauge,
@@ -110,6 +113,15 @@
                 "tasks of the instance that ended and were started again",
                 "task",
             ),
+            callers_given_up: builder.counters(
+                &prefixed("callers_given_up_total"),
+                "what was given up of callers: bodies and connections for others, newcomers, those that took too long",
+                "what",
+            ),
+            caller_bytes: builder
+                .gauge(&prefixed("caller_bytes"), "bytes held for callers"),
+            caller_connections: builder
+                .gauge(&prefixed("caller_connections"), "open connections of callers"),
             link_bytes: builder
                 .gauge(&prefixed("link_bytes"), "bytes sent to peers since the start"),
             config_version: builder
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -8,6 +8,7 @@
 use indexmap::{IndexMap, IndexSet};
 use parking_lot::{Mutex, RwLock};
 
+use crate::coordination::caller_budget::Machine;
 use crate::coordination::once::{Expected, RecentClaims, WriteOutcome};
 use crate::coordination::tickets::{Head, is_newer};
 use crate::protocol::platform::{HEAD_KEY, Platform, encode_head};
@@ -100,7 +101,7 @@
             domain: cfg.domain.clone(),
             stop: cfg.stop,
             cold_rate: (1.0, 0.0),
-            ..Default::default()
+            ..TierOptions::for_machine(Machine::from_settings(cfg.memory_mb, cfg.max_fds))
         };
         let tier = Arc::new(Tier::new(opts, UpstreamCodec));
         let config =
--- a/src/transport/operators/listener.rs
+++ b/src/transport/operators/listener.rs
@@ -13,8 +13,11 @@
 use crate::protocol::platform::ticket_key;
 use crate::state::ticket::Ticket;
 use crate::state::topology::Server;
+use crate::transport::admission::{Receiving, RequestHold};
 use crate::transport::faults::FaultSet;
-use crate::transport::http::{FullResponse, json_response, read_body, text_response};
+use crate::transport::http::{
+    BodyError, FullResponse, READ_TIMEOUT, json_response, read_body, text_response,
+};
 use crate::transport::node::Node;
 use crate::transport::operators::submit::{SubmitResult, submit};
 use crate::transport::upstreams::tier::ServerState;
@@ -23,7 +26,11 @@
 const SUBMIT_TIME: Duration = Duration::from_millis(4_500);
 
 /// Handles one request to the operators' listener.
-pub(crate) async fn handle(node: Arc<Node>, req: Request<Incoming>) -> FullResponse {
+pub(crate) async fn handle(
+    node: Arc<Node>,
+    req: Request<Incoming>,
+    hold: RequestHold<Receiving>,
+) -> FullResponse {
     let path = req.uri().path().to_owned();
     match (req.method(), path.as_str()) {
         (&Method::GET, "/live") => text_response(200, "live\n"),
@@ -31,9 +38,9 @@
         (&Method::GET, "/metrics") => metrics(&node),
         (&Method::GET, "/v1/dump") => json_response(200, &dump(&node)),
         (&Method::GET, "/v1/config") => json_response(200, &node.catalog().fleet),
-        (&Method::POST, "/v1/tickets") => post_ticket(&node, req).await,
+        (&Method::POST, "/v1/tickets") => post_ticket(&node, req, hold).await,
         (&Method::GET, path) if path.starts_with("/v1/tickets/") => show_ticket(&node, path).await,
-        (&Method::POST, "/v1/faults") if node.cfg.test_faults => set_faults(&node, req).await,
+        (&Method::POST, "/v1/faults") if node.cfg.test_faults => set_faults(&node, req, hold).await,
         _ => text_response(404, "no such path; see docs/OPERATIONS.md\n"),
     }
 }
@@ -43,7 +50,7 @@
     metrics.link_bytes.set(node.peers.links.sent_bytes.load(Ordering::Relaxed) as i64);
     metrics.config_version.set(node.catalog().version() as i64);
     metrics.requests_in_flight.set(node.tier.requests_in_flight() as i64);
-    text_response(200, metrics.render())
+    text_response(200, node.tier.metrics())
 }
 
 fn ready(node: &Node) -> FullResponse {
@@ -57,13 +64,23 @@
     }
 }
 
-async fn post_ticket(node: &Arc<Node>, req: Request<Incoming>) -> FullResponse {
+async fn post_ticket(
+    node: &Arc<Node>,
+    req: Request<Incoming>,
+    hold: RequestHold<Receiving>,
+) -> FullResponse {
     let _in_progress = node.tier.track_change();
-    let Ok(body) = read_body(req.into_body(), MAX_CONFIG_BYTES).await else {
-        return json_response(
-            400,
-            &json!({"refused": [{"place": "", "problem": "no whole ticket of at most a megabyte"}]}),
-        );
+    let received = read_body(req.into_body(), MAX_CONFIG_BYTES, READ_TIMEOUT, hold).await;
+    let (body, _hold) = match received {
+        Ok(received) => received,
+        Err(BodyError::NoRoom) => {
+            let error = "too many tickets are being received; nothing was changed";
+            return json_response(503, &json!({ "away": error }));
+        }
+        Err(_) => {
+            let problem = "no whole ticket of at most a megabyte";
+            return json_response(400, &json!({"refused": [{"place": "", "problem": problem}]}));
+        }
     };
     let ticket: Ticket = match serde_json::from_slice(&body) {
         Ok(ticket) => ticket,
@@ -99,8 +116,13 @@
     }
 }
 
-async fn set_faults(node: &Node, req: Request<Incoming>) -> FullResponse {
-    let Ok(body) = read_body(req.into_body(), MAX_CONFIG_BYTES).await else {
+async fn set_faults(
+    node: &Node,
+    req: Request<Incoming>,
+    hold: RequestHold<Receiving>,
+) -> FullResponse {
+    let received = read_body(req.into_body(), MAX_CONFIG_BYTES, READ_TIMEOUT, hold).await;
+    let Ok((body, _hold)) = received else {
         return text_response(400, "no body\n");
     };
     match serde_json::from_slice::<FaultSet>(&body) {
--- a/src/transport/process/daemon.rs
+++ b/src/transport/process/daemon.rs
@@ -138,7 +138,11 @@
 }
 
 async fn serve_operators(node: Arc<Node>, listener: Arc<TcpListener>, stop: CancellationToken) {
-    http::serve(listener, stop, move |req| listener::handle(node.clone(), req)).await;
+    let handler = {
+        let node = node.clone();
+        move |req, hold| listener::handle(node.clone(), req, hold)
+    };
+    http::serve(node.tier.clone(), listener, stop, handler).await;
 }
 
 async fn wait_stop_signal() -> Result<()> {
--- a/src/transport/process/flags.rs
+++ b/src/transport/process/flags.rs
@@ -21,6 +21,15 @@
     Ok(())
 }
 
+fn parse_some<T: std::str::FromStr>(
+    slot: &mut Option<T>,
+    s: &str,
+    expected: &str,
+) -> Result<(), String> {
+    *slot = Some(s.parse().map_err(|_| format!("`{s}` is not {expected}"))?);
+    Ok(())
+}
+
 fn parse_millis(slot: &mut Duration, s: &str) -> Result<(), String> {
     let mut ms = 0u64;
     parse_value(&mut ms, s, "a whole number of milliseconds")?;
@@ -130,6 +139,18 @@
         help: "maximum number of callers' requests in flight",
         apply: |c, s| parse_value(&mut c.max_requests, s, "a whole number"),
     },
+    Flag {
+        name: "memory-mb",
+        placeholder: "MB",
+        help: "memory of the machine, a quarter of which may be held for callers [default: 256]",
+        apply: |c, s| parse_some(&mut c.memory_mb, s, "a whole number of megabytes"),
+    },
+    Flag {
+        name: "max-fds",
+        placeholder: "N",
+        help: "descriptors of the machine; callers have half of those of its sockets [default: 1024]",
+        apply: |c, s| parse_some(&mut c.max_fds, s, "a whole number"),
+    },
     Flag {
         name: "log-level",
         placeholder: "LEVEL",
--- a/src/transport/settings.rs
+++ b/src/transport/settings.rs
@@ -40,6 +40,10 @@
     pub seed_peers: Vec<SocketAddr>,
     /// Maximum number of callers' requests in flight.
     pub max_requests: usize,
+    /// Memory of the machine, in megabytes.
+    pub memory_mb: Option<u64>,
+    /// Descriptors of the machine, of files and sockets together.
+    pub max_fds: Option<usize>,
     /// Least severe level that is logged.
     pub log_level: LevelFilter,
     /// Format of the log lines.
@@ -63,6 +67,8 @@
             platform_addr: None,
             seed_peers: Vec::new(),
             max_requests: 4_096,
+            memory_mb: None,
+            max_fds: None,
             log_level: LevelFilter::Info,
             log_format: LogFormat::Text,
             stop: StopOptions::default(),
--- a/src/transport/upstreams/outcome.rs
+++ b/src/transport/upstreams/outcome.rs
@@ -16,6 +16,7 @@
 use crate::state::time::Tick;
 use crate::state::topology::Server;
 use crate::transport::http::Reply;
+use crate::transport::segments::SegmentedBody;
 use crate::transport::upstreams::send::{Answer, SendOutcome, Sender};
 use crate::transport::upstreams::tier::ServerRun;
 
@@ -48,7 +49,7 @@
         &self,
         attempt: Attempt<Replied>,
         run: ServerRun<'_>,
-        (head, reply): (ResponseHead, Reply),
+        (head, reply): (ResponseHead, Reply<SegmentedBody>),
         took: Duration,
     ) -> SendOutcome {
         let now = self.tier.now();
--- a/src/transport/upstreams/send.rs
+++ b/src/transport/upstreams/send.rs
@@ -23,6 +23,7 @@
 use crate::state::time::Tick;
 use crate::state::topology::{Server, TopologyView};
 use crate::transport::http::{self, Reply, ReplyError};
+use crate::transport::segments::SegmentedBody;
 use crate::transport::upstreams::connection_pool::{Checkout, Connection, Released};
 use crate::transport::upstreams::context::AnswerTimes;
 use crate::transport::upstreams::tier::{ServerRun, ServerState, Tier};
@@ -103,7 +104,7 @@
 pub(crate) struct Answer {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: SegmentedBody,
     pub(crate) signature: Option<HeaderValue>,
 }
 
@@ -481,7 +482,7 @@
     /// Logs a reply that is not known to be this request's; its connection is closed.
     fn log_foreign_reply(
         &self,
-        reply: &Reply,
+        reply: &Reply<SegmentedBody>,
         head: &ResponseHead,
         conn: &Connection,
         sent_at: Tick,
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -7,6 +7,7 @@
 use indexmap::{IndexMap, IndexSet};
 use parking_lot::{Mutex, RwLock};
 
+use crate::coordination::caller_budget::{CallerBudgetOptions, Machine};
 use crate::coordination::domain_health::DomainHealth;
 use crate::coordination::gatherers::Spread;
 use crate::coordination::lag::Lag;
@@ -34,6 +35,7 @@
 use crate::state::sharded_map::ShardedMap;
 use crate::state::time::Tick;
 use crate::state::topology::{Server, ServerReport, Topology, TopologyView};
+use crate::transport::admission::Admission;
 use crate::transport::clock::Clock;
 use crate::transport::http::ReplyBuffers;
 use crate::transport::metrics::Metrics;
@@ -63,6 +65,8 @@
     pub max_buffered_bytes: usize,
     /// Durations of a planned stop.
     pub stop: StopOptions,
+    /// What the machine grants to this process.
+    pub machine: Machine,
 }
 
 impl Default for TierOptions {
@@ -77,10 +81,24 @@
             max_answer_bytes: 8 << 20,
             max_buffered_bytes: 32 << 20, // a fifth of the memory of the smallest instances
             stop: StopOptions::default(),
+            machine: Machine::default(),
         }
     }
 }
 
+/// Part of a machine's memory that replies of servers have while they are being received.
+const REPLY_MEMORY_DIVISOR: usize = 5;
+
+impl TierOptions {
+    /// Returns the defaults for a machine.
+    pub fn for_machine(machine: Machine) -> Self {
+        let defaults = Self::default();
+        let max_buffered_bytes =
+            defaults.max_buffered_bytes.min(machine.memory_bytes / REPLY_MEMORY_DIVISOR);
+        Self { machine, max_buffered_bytes, ..defaults }
+    }
+}
+
 /// Counts a caller's request as in flight until dropped.
 pub(crate) struct RequestGuard(Arc<Tier>);
 
@@ -195,6 +213,8 @@
     pub(crate) retry_budgets: ShardedMap<PoolKey, RetryBudget>,
     pub(crate) metrics: Metrics,
     pub(crate) reply_buffers: ReplyBuffers,
+    /// What is held for callers.
+    pub(crate) admission: Arc<Admission>,
     domains: Mutex<IndexMap<String, DomainHealth>>,
     topology: Mutex<Topology>,
     view: RwLock<Arc<TopologyView>>,
@@ -222,17 +242,21 @@
 impl Tier {
     /// Creates a tier without routes.
     pub fn new(opts: TierOptions, codec: impl ServerCodec) -> Self {
+        let (clock, metrics) = (Clock::default(), Metrics::default());
+        let budget = CallerBudgetOptions::for_machine(opts.machine);
+        let admission = Admission::new(budget, clock, metrics.callers_given_up.clone());
         Self {
             instances: AtomicUsize::new(opts.initial_instances),
             reply_buffers: ReplyBuffers::new(opts.max_buffered_bytes),
+            admission: Arc::new(admission),
             opts,
             names: NameInterner::default(),
-            clock: Clock::default(),
+            clock,
             codec: Box::new(codec),
             servers: ShardedMap::default(),
             route_stats: ShardedMap::default(),
             retry_budgets: ShardedMap::default(),
-            metrics: Metrics::default(),
+            metrics,
             domains: Mutex::default(),
             topology: Mutex::default(),
             view: RwLock::default(),
@@ -263,6 +287,11 @@
         self.clock
     }
 
+    /// Returns the admission to another listener than that of callers.
+    pub(crate) fn new_admission(&self, opts: CallerBudgetOptions) -> Admission {
+        Admission::new(opts, self.clock, self.metrics.callers_given_up.clone())
+    }
+
     /// Returns the current routes and servers.
     pub fn view(&self) -> Arc<TopologyView> {
         self.view.read().clone()
@@ -668,6 +697,8 @@
 
     /// Returns the metrics in the Prometheus text format.
     pub fn metrics(&self) -> String {
+        self.metrics.caller_bytes.set(self.admission.bytes() as i64);
+        self.metrics.caller_connections.set(self.admission.connections() as i64);
         self.metrics.render()
     }
 }
--- a/tests/lifecycle.rs
+++ b/tests/lifecycle.rs
@@ -227,10 +227,14 @@
         let mut conn = CallerConnection::open(ms(OPENED_AT));
         for event in case.events {
             match event {
-                Event::Read => conn.record_read(ms(READ_AT)),
+                Event::Read => {
+                    conn.record_read(ms(READ_AT));
+                }
                 Event::Request => conn.record_request(),
-                Event::Answer => conn.record_answer(),
-                Event::Flush => conn.record_flush(),
+                Event::Answer => conn.record_answer(ms(READ_AT)),
+                Event::Flush => {
+                    conn.record_flush(ms(READ_AT));
+                }
             }
         }
         assert_eq!(conn.phase(), case.phase, "{}", case.name);
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -91,8 +91,8 @@
             self.script.answered_at = None;
             self.state.record_read(ms(now));
             self.state.record_request();
-            self.state.record_answer();
-            self.state.record_flush();
+            self.state.record_answer(ms(now));
+            self.state.record_flush(ms(now));
             // a leaving instance closes the connection with the answer
             if times.is_some() {
                 self.close();
@@ -124,11 +124,11 @@
                 self.written_at = Some(now + SHORT_WRITE);
             }
             if self.written_at.is_some() {
-                self.state.record_answer();
+                self.state.record_answer(ms(now));
             }
         }
         if self.written_at.is_some_and(|at| now >= at) {
-            self.state.record_flush();
+            self.state.record_flush(ms(now));
             self.has_answer = true;
             self.written_at = None;
             if times.is_some() {
