A head has the time of a head, not that of an idle connection

Callers saw: connections with a part of a head were kept for idleTimeoutMs, five times as long as headerTimeoutMs allows, and each kept a read buffer of up to 16 KB.

Cause: one timer of the HTTP library served both limits, set to the longer one. An answer that is not read had no limit at all.

Change: CallerConnection says when its caller has taken too long for what it waits for, and the connection's driver closes it then: a head from its first byte on, the next head, an answer of which no byte is read for idleTimeoutMs.

Why it works: the time counts from the first byte, which a trickle of bytes does not move; only bytes that the caller has read move the limit on answers.

--- a/src/coordination/connection.rs
+++ b/src/coordination/connection.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use crate::state::routes::CallerLimits;
 use crate::state::time::Tick;
 
 /// What a connection is doing.
@@ -67,6 +68,13 @@
         self.since = now;
     }
 
+    /// Records that bytes of an answer were written, since its caller has read what was written before.
+    pub fn record_write(&mut self, now: Tick) {
+        if self.phase == ConnectionPhase::Busy && self.is_answered {
+            self.since = now;
+        }
+    }
+
     /// Records that all that was handed over is written; returns whether the connection is idle since.
     pub fn record_flush(&mut self, now: Tick) -> bool {
         let is_read = self.phase == ConnectionPhase::Busy && self.is_answered;
@@ -77,6 +85,18 @@
         is_read
     }
 
+    /// Returns when the caller has taken too long for what the connection waits for: a head from its first byte on, the next head,
+    /// or the reading of an answer. `None` while the instance itself is at work; a body has the time of its request.
+    pub fn expires_at(&self, limits: &CallerLimits) -> Option<Tick> {
+        match self.phase {
+            ConnectionPhase::Reading => Some(self.since + limits.header_timeout),
+            ConnectionPhase::Fresh | ConnectionPhase::Idle => {
+                Some(self.since + limits.idle_timeout)
+            }
+            ConnectionPhase::Busy => self.is_answered.then(|| self.since + limits.idle_timeout),
+        }
+    }
+
     /// Records that the instance closes its connections; a caller has `head_time` for a head, from when it began or could have.
     pub fn begin_close(&mut self, head_time: Duration) {
         self.head_time = Some(head_time);
--- a/src/transport/admission.rs
+++ b/src/transport/admission.rs
@@ -176,6 +176,11 @@
         self.connection.lock().record_answer(self.now());
     }
 
+    /// Records that bytes were written.
+    pub(crate) fn record_write(&self) {
+        self.connection.lock().record_write(self.now());
+    }
+
     /// Records that all that was handed over is written.
     pub(crate) fn record_flush(&self) {
         let now = self.now();
@@ -195,10 +200,15 @@
         closes_at.is_some_and(|at| at <= self.now())
     }
 
-    /// Returns when the connection is to be looked at, since a stop may close it.
+    /// Returns when the connection is to be looked at: a stop may close it, or its caller has taken too long.
     fn due_at(&self, now: Tick) -> Option<Tick> {
-        let closes_at = self.connection.lock().closes_at();
-        closes_at.map(|at| at.max(now + CLOSE_POLL_INTERVAL))
+        let connection = self.connection.lock();
+        let closes_at = connection.closes_at().map(|at| at.max(now + CLOSE_POLL_INTERVAL));
+        closes_at.into_iter().chain(connection.expires_at(&self.limits)).min()
+    }
+
+    fn is_expired(&self, now: Tick) -> bool {
+        self.connection.lock().expires_at(&self.limits).is_some_and(|at| at <= now)
     }
 }
 
@@ -209,9 +219,11 @@
     Closed(hyper::Result<()>),
     /// It was given up for others.
     GivenUp,
+    /// Its caller took too long.
+    Expired,
 }
 
-/// Drives a connection until it ends or is given up.
+/// Drives a connection until it ends, is given up, or its caller takes too long.
 pub(crate) async fn drive(
     mut conn: Pin<&mut impl Future<Output = hyper::Result<()>>>,
     hold: &Hold,
@@ -229,6 +241,10 @@
                 return Poll::Ready(End::GivenUp);
             }
             let now = clock.now();
+            if hold.is_expired(now) {
+                hold.admission.given_up.with_label_values(&["expired"]).inc();
+                return Poll::Ready(End::Expired);
+            }
             let Some(at) = hold.due_at(now) else { return Poll::Pending };
             // most of the time the connection is due later than before, and an early look does no harm
             if at < timer_at || timer_at <= now {
--- a/src/transport/callers/frontend.rs
+++ b/src/transport/callers/frontend.rs
@@ -11,7 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -192,9 +192,9 @@
             Ok::<_, Infallible>(track_answer(res, hold))
         }
     });
+    // time limits are those of what the connection is doing, see `drive`
     let conn = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(hold.limits().idle_timeout.max(hold.limits().header_timeout))
+        .header_read_timeout(None)
         .max_buf_size(hold.limits().max_header_bytes.max(MIN_HEADER_BUFFER_BYTES))
         .serve_connection(TokioIo::new(TrackedStream::new(stream, hold.clone())), service);
     let mut conn = std::pin::pin!(conn);
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -28,6 +28,13 @@
     pub(crate) fn new(stream: TcpStream, hold: Arc<Hold>) -> Self {
         Self { stream, hold }
     }
+
+    fn record_written(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if matches!(result, Poll::Ready(Ok(_))) {
+            self.hold.record_write();
+        }
+        result
+    }
 }
 
 impl AsyncRead for TrackedStream {
@@ -56,7 +63,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record_written(result)
     }
 
     fn poll_write_vectored(
@@ -64,7 +72,8 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record_written(result)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -15,7 +15,7 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
@@ -178,9 +178,9 @@
         let (answer, hold) = (handler(req, handled.record_request()), handled.clone());
         async move { Ok::<_, Infallible>(track_answer(answer.await, hold)) }
     });
+    // time limits are those of what the connection is doing, see `drive`
     let conn = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(READ_TIMEOUT)
+        .header_read_timeout(None)
         .max_buf_size(LISTENER_LIMITS.max_header_bytes)
         .serve_connection(TokioIo::new(TrackedStream::new(stream, hold.clone())), service);
     let mut conn = std::pin::pin!(conn);
--- a/tests/lifecycle.rs
+++ b/tests/lifecycle.rs
@@ -6,8 +6,8 @@
 
 use support::ms;
 use tamarackdeck::{
-    CallerConnection, Closing, ConnectionPhase, Instance, Starting, StopOptions, StopTimes, Tick,
-    Unfinished,
+    CallerConnection, CallerLimits, Closing, ConnectionPhase, Instance, Starting, StopOptions,
+    StopTimes, Tick, Unfinished,
 };
 
 struct Case {
@@ -156,6 +156,7 @@
     Read,
     Request,
     Answer,
+    Write,
     Flush,
 }
 
@@ -165,46 +166,61 @@
     phase: ConnectionPhase,
     /// From when on a stop closes the connection, in milliseconds, with three seconds for a head.
     closes_at: Option<u64>,
+    /// From when on its caller has taken too long.
+    expires_at: Option<u64>,
 }
 
 const OPENED_AT: u64 = 10_000;
 const READ_AT: u64 = 10_700;
+const WRITTEN_AT: u64 = 11_000;
+const LIMITS: CallerLimits = CallerLimits {
+    max_header_bytes: 16 << 10,
+    max_body_bytes: 1 << 20,
+    header_timeout: Duration::from_millis(3_000),
+    idle_timeout: Duration::from_millis(15_000),
+};
 const PHASES: &[PhaseCase] = &[
     PhaseCase {
         name: "nothing received",
         events: &[],
         phase: ConnectionPhase::Fresh,
         closes_at: Some(OPENED_AT + 3_000),
+        expires_at: Some(OPENED_AT + 15_000),
     },
     PhaseCase {
         name: "a part of a head",
         events: &[Event::Read],
         phase: ConnectionPhase::Reading,
         closes_at: Some(READ_AT + 3_000),
+        expires_at: Some(READ_AT + 3_000),
     },
     PhaseCase {
         name: "a request is handled, and the rest of its body comes",
         events: &[Event::Read, Event::Request, Event::Read, Event::Flush],
         phase: ConnectionPhase::Busy,
         closes_at: None,
+        expires_at: None,
     },
     PhaseCase {
         name: "an answer is handed over and not written",
         events: &[Event::Read, Event::Request, Event::Answer],
         phase: ConnectionPhase::Busy,
         closes_at: None,
+        expires_at: Some(READ_AT + 15_000),
     },
     PhaseCase {
         name: "an answer is written",
         events: &[Event::Read, Event::Request, Event::Answer, Event::Flush],
         phase: ConnectionPhase::Idle,
         closes_at: Some(READ_AT),
+        expires_at: Some(READ_AT + 15_000),
     },
     PhaseCase {
         name: "a part of a second head",
         events: &[Event::Read, Event::Request, Event::Answer, Event::Flush, Event::Read],
         phase: ConnectionPhase::Reading,
         closes_at: Some(READ_AT + 3_000),
+        expires_at: Some(READ_AT + 3_000),
     },
     PhaseCase {
         name: "a second request, while what was handed over before is written",
@@ -218,6 +234,14 @@
         ],
         phase: ConnectionPhase::Busy,
         closes_at: None,
+        expires_at: None,
+    },
+    PhaseCase {
+        name: "an answer that is read slowly",
+        events: &[Event::Read, Event::Request, Event::Answer, Event::Write],
+        phase: ConnectionPhase::Busy,
+        closes_at: None,
+        expires_at: Some(WRITTEN_AT + 15_000),
     },
 ];
 
@@ -232,12 +256,14 @@
                 }
                 Event::Request => conn.record_request(),
                 Event::Answer => conn.record_answer(ms(READ_AT)),
+                Event::Write => conn.record_write(ms(WRITTEN_AT)),
                 Event::Flush => {
                     conn.record_flush(ms(READ_AT));
                 }
             }
         }
         assert_eq!(conn.phase(), case.phase, "{}", case.name);
+        assert_eq!(conn.expires_at(&LIMITS), case.expires_at.map(ms), "{}", case.name);
         assert_eq!(conn.closes_at(), None, "{}: before the stop closes any", case.name);
         conn.begin_close(Duration::from_secs(3));
         assert_eq!(conn.closes_at(), case.closes_at.map(ms), "{}", case.name);
