Answers that nobody reads count towards what is held for callers

Callers saw: an instance that ended. A hundred answers of 4 MB that nobody reads took 207 MB, and more with more of them.

Cause: replies were counted until they were complete, and not from then until their caller had read them.

It is always held at first, since its request may have run.

Why it works: what is held of all answers together is bounded, whoever does not read them.

--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -92,9 +92,9 @@
     }
 }
 
-/// Records an answer.
+/// Records an answer, which is held until its caller has read it.
 pub(crate) fn track_answer(res: FullResponse, hold: Arc<Hold>) -> Response<TrackedBody> {
-    hold.begin_answer(0);
+    hold.begin_answer(res.body().len());
     res.map(|body| TrackedBody { body, hold })
 }
 
