Links from peers are bounded, and so is what they may send before they say who they are

Cause: the listener accepted without a bound, and the bound on a message was that of documents from the first one on.

Change: links are admitted to a budget of their own, a quarter of the sockets. Until its hello has come a link may be given up for others; its first message has 16 KiB at most. One that is silent for 180 s is closed: who opened it closes it after 90 s, so that only links are meant whose other end has gone without a word.

Why it works: a link that has not said who it is costs the place of another such link, and never one in use.

--- a/src/coordination/caller_budget.rs
+++ b/src/coordination/caller_budget.rs
@@ -75,6 +75,13 @@
         }
     }
 
+    /// Returns the part of a machine that is set aside for links that peers open: a quarter of the descriptors that sockets may
+    /// have. What a link holds beside its buffers is bounded by the size of a frame.
+    pub fn for_peers(machine: Machine) -> Self {
+        let max_connections = Self::for_machine(machine).max_connections / 2;
+        Self { max_bytes: max_connections * (CONNECTION_BYTES + UNREAD_BYTES), max_connections }
+    }
+
     /// Returns the part of a machine that is set aside for a listener of operators, the load balancer or metrics.
     pub fn for_listener(machine: Machine) -> Self {
         Self {
--- a/src/transport/admission.rs
+++ b/src/transport/admission.rs
@@ -141,6 +141,11 @@
 }
 
 impl Hold {
+    /// Waits until the connection is given up for others.
+    pub(crate) async fn given_up(&self) {
+        self.signals.closed.cancelled().await;
+    }
+
     fn now(&self) -> Tick {
         self.admission.clock.now()
     }
--- a/src/transport/peers/links.rs
+++ b/src/transport/peers/links.rs
@@ -33,7 +33,7 @@
 /// Delay before the next attempt to connect to an unreachable peer.
 const RECONNECT_DELAY: Duration = Duration::from_millis(300);
 /// Time since its last use after which a link is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(90);
+pub(crate) const IDLE_TIMEOUT: Duration = Duration::from_secs(90);
 /// Size of the read and the write buffer of a link; the library reserves and clears both for each read, and an
 /// instance has a link to most members.
 const BUFFER_BYTES: usize = 4 << 10;
--- a/src/transport/process/daemon.rs
+++ b/src/transport/process/daemon.rs
@@ -105,13 +105,13 @@
 ) -> [JoinHandle<()>; 2] {
     let (operators, peers) = (Arc::new(operators), Arc::new(peers));
     let (operators_node, operators_stop) = (node.clone(), stop.clone());
-    let (linked, peers_stop) = (node.peers.clone(), stop.clone());
+    let (tier, linked, peers_stop) = (node.tier.clone(), node.peers.clone(), stop.clone());
     [
         supervisor.spawn("operators", move || {
             serve_operators(operators_node.clone(), operators.clone(), operators_stop.clone())
         }),
         supervisor.spawn("peers", move || {
-            server::serve(linked.clone(), peers.clone(), peers_stop.clone())
+            server::serve(tier.clone(), linked.clone(), peers.clone(), peers_stop.clone())
         }),
     ]
 }
--- a/tests/departure.rs
+++ b/tests/departure.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use tamarackdeck::{
-    InstanceId, Member, PeerOptions, Peers, announce_departure, run_heartbeats, serve_peers,
+    InstanceId, Member, PeerOptions, Peers, Tier, TierOptions, UpstreamCodec, announce_departure,
+    run_heartbeats, serve_peers,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -50,11 +51,16 @@
     addr
 }
 
+/// Returns a tier of its own, whose machine bounds the links.
+fn new_tier() -> Arc<Tier> {
+    Arc::new(Tier::new(TierOptions::default(), UpstreamCodec))
+}
+
 fn start(name: &str, addr: SocketAddr, listener: TcpListener) -> Arc<Peers> {
     let me = Member { id: InstanceId::new(name, 1), domain: "north".into(), addr, power: 0 };
     let opts = PeerOptions { deployment: "d".into(), me, seeds: Vec::new(), remote_push_fanout: 0 };
     let peers = Arc::new(Peers::new(opts, Box::new(|_, _| {})));
-    tokio::spawn(serve_peers(peers.clone(), listener, CancellationToken::new()));
+    tokio::spawn(serve_peers(new_tier(), peers.clone(), listener, CancellationToken::new()));
     peers
 }
 
--- a/tests/doc_fetch.rs
+++ b/tests/doc_fetch.rs
@@ -12,12 +12,17 @@
 use parking_lot::Mutex;
 use support::ms;
 use tamarackdeck::{
-    Doc, DocOffers, FetchStep, InstanceId, Member, PeerOptions, Peers, SLOW_FETCH, fetch_delay,
-    run_heartbeats, serve_peers,
+    Doc, DocOffers, FetchStep, InstanceId, Member, PeerOptions, Peers, SLOW_FETCH, Tier,
+    TierOptions, UpstreamCodec, fetch_delay, run_heartbeats, serve_peers,
 };
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+/// Returns a tier of its own, whose machine bounds the links.
+fn new_tier() -> Arc<Tier> {
+    Arc::new(Tier::new(TierOptions::default(), UpstreamCodec))
+}
+
 /// A document of many entries changes at a fixed interval. Its watcher pushes each change to one member after the other, and
 /// each member hears the new version from a heartbeat before its push arrives. All transfers share the watcher's link.
 struct Case {
@@ -387,13 +392,23 @@
         for (n, listener) in listeners.enumerate() {
             let member = members[n + 1].clone();
             let peers = new_peers(member.clone(), &[members[0].clone(), member], case.members[n]);
-            tasks.push(tokio::spawn(serve_peers(peers.clone(), listener, stop.clone())));
+            tasks.push(tokio::spawn(serve_peers(
+                new_tier(),
+                peers.clone(),
+                listener,
+                stop.clone(),
+            )));
             tasks.push(tokio::spawn(run_heartbeats(peers)));
         }
         // their links wait for the instance, as after a suspension
         tokio::time::sleep(Duration::from_millis(300)).await;
         FETCHED_FROM.lock().clear();
-        tasks.push(tokio::spawn(serve_peers(instance.clone(), own_listener, stop.clone())));
+        tasks.push(tokio::spawn(serve_peers(
+            new_tier(),
+            instance.clone(),
+            own_listener,
+            stop.clone(),
+        )));
         tasks.push(tokio::spawn(run_heartbeats(instance.clone())));
         let newest = case.members.iter().max().copied().unwrap();
         let deadline = Instant::now() + Duration::from_secs(10);
