Bodies that are forwarded to a peer count on both instances

Callers saw: nothing yet; by reading. A link makes two copies of each body that it carries, in a frame and in its buffer, for each range of a divided request, and the gatherer holds another one that no caller of its own stands for.

Change: the sender holds the copies while the call lasts, and gathers the request itself if there is no room for them; a gatherer holds at most a sixteenth of its memory for bodies of peers, and refuses as busy before it sends anything.

Why it works: every copy that a caller can cause is counted before it is made, and both refusals leave the request unsent.

--- a/src/coordination/caller_budget.rs
+++ b/src/coordination/caller_budget.rs
@@ -305,6 +305,11 @@
         grant
     }
 
+    /// Gives back bytes that were held for a request.
+    pub fn give_back(&self, key: CallerKey, bytes: usize) {
+        self.update(key, |h| h.request = h.request.saturating_sub(bytes));
+    }
+
     /// Records an answer of `bytes`, which is held until its caller has read it. It is always held, since its request may have
     /// run; others are given up for it as long as there are any.
     pub fn begin_answer(&self, key: CallerKey, bytes: usize, now: Tick) -> Vec<(H, Eviction)> {
--- a/src/protocol/gather.rs
+++ b/src/protocol/gather.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Returns the size of the body, in bytes.
+    pub(crate) fn body_size(&self) -> usize {
+        self.body.len()
+    }
+
     /// Returns the request to send to servers.
     ///
     /// # Errors
--- a/src/transport/admission.rs
+++ b/src/transport/admission.rs
@@ -309,3 +309,25 @@
         Ok(RequestHold { hold: self.hold, stage: PhantomData })
     }
 }
+
+impl RequestHold<Working> {
+    /// Holds copies of the body until what is returned is dropped; `None` if there is no room for them.
+    pub(crate) fn copies(&self, bytes: usize) -> Option<CopiesHold<'_>> {
+        let Hold { admission, key, .. } = &*self.hold;
+        let Grant { is_granted, evicted } = admission.budget.hold(*key, bytes, self.hold.now());
+        admission.signal(evicted);
+        is_granted.then_some(CopiesHold { hold: &self.hold, bytes })
+    }
+}
+
+/// Copies of a request's body, such as those of a link to a peer; given back when dropped.
+pub(crate) struct CopiesHold<'a> {
+    hold: &'a Hold,
+    bytes: usize,
+}
+
+impl Drop for CopiesHold<'_> {
+    fn drop(&mut self) {
+        self.hold.admission.budget.give_back(self.hold.key, self.bytes);
+    }
+}
--- a/src/transport/callers/forward.rs
+++ b/src/transport/callers/forward.rs
@@ -31,6 +31,9 @@
 use crate::transport::peers::gather::{GatherFailure, GatherHandler, Gatherer};
 use crate::transport::upstreams::run::{GivenUp, Job, run};
 
+/// Copies of a body that a link makes: one in the frame, one in the link's buffer.
+const LINK_COPIES: usize = 2;
+
 impl<C: CallerCodec> Proxy<C> {
     /// Forwards a request to a gatherer; returns `None` if this instance gathers it itself.
     pub(crate) async fn try_forward(
@@ -130,6 +133,14 @@
         job: &Job,
         view: &TopologyView,
     ) -> Result<Result<GatheredParts, DeclineReason>, GatherRefusal> {
+        // without room for the copies the request is gathered here
+        let _copies = match &job.hold {
+            Some(hold) => {
+                let bytes = LINK_COPIES * job.outgoing.body.len();
+                Some(hold.copies(bytes).ok_or(GatherRefusal::Busy)?)
+            }
+            None => None,
+        };
         let version = view.route_table.as_ref().map_or(0, |table| table.version);
         let now = self.tier.now();
         // the gatherer takes the way there off itself, by the time of sending
@@ -220,6 +231,7 @@
             target_latency: route.target_latency,
             outgoing: out,
             opts,
+            hold: None,
         };
         Ok((job, view, gathering.clone()))
     }
@@ -249,6 +261,9 @@
         age: Duration,
     ) -> GatherResult {
         let _guard = self.tier.track_gather();
+        let Some(_held) = self.tier.gathered_bodies.hold(request.body_size()) else {
+            return GatherResult::NotTaken(GatherRefusal::Busy);
+        };
         let (job, view, gathering) = match self.job_for_peer(&request, age) {
             Ok(parts) => parts,
             Err(refusal) => return GatherResult::NotTaken(refusal),
--- a/src/transport/callers/proxy.rs
+++ b/src/transport/callers/proxy.rs
@@ -102,7 +102,7 @@
         let (head, body) = req.into_parts();
         let time_left = caller_request.timeout.unwrap_or(route.timeout).min(route.timeout);
         let received = read_body(body, table.limits.max_body_bytes, time_left, hold).await;
-        let (body, _hold) = received.map_err(|e| match e {
+        let (body, hold) = received.map_err(|e| match e {
             BodyError::TooLarge => DeclineReason::TooLarge,
             BodyError::TooSlow => DeclineReason::TooSlow,
             BodyError::Broken => DeclineReason::Broken,
@@ -127,6 +127,7 @@
             target_latency: route.target_latency,
             outgoing: out,
             opts,
+            hold: Some(Arc::new(hold)),
         };
         if let Target::Gather(gathering) = &route.target {
             self.tier.record_sharded_request(arrival.arrived_at);
--- a/src/transport/callers/query.rs
+++ b/src/transport/callers/query.rs
@@ -173,7 +173,7 @@
         ..Default::default()
     };
     let id = format!("{}-{request:x}", node.me.id.0);
-    Job { id, route: entry.route, target_latency, outgoing: out, opts }
+    Job { id, route: entry.route, target_latency, outgoing: out, opts, hold: None }
 }
 
 fn into_answer(map: &ShardMapEntry, snapshot: Snapshot, gathered: Gathered) -> Answer {
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -259,7 +259,7 @@
     /// # Errors
     /// When no complete reply arrives within `timeout`.
     pub async fn send(mut self, req: Request<Full<Bytes>>, timeout: Duration) -> Result<Reply> {
-        let buffers = ReplyBuffers::new(MAX_REPLY_BYTES);
+        let buffers = SharedMemory::new(MAX_REPLY_BYTES);
         let exchange = async {
             let res = self.send.send_request(req).await?;
             let Reply { status, headers, body } =
@@ -283,24 +283,30 @@
     Broken,
 }
 
-/// Memory of incomplete replies, which all replies of a process share.
+/// Memory that all bodies of one kind in a process share, such as those of incomplete replies.
 #[derive(Debug)]
-pub(crate) struct ReplyBuffers {
+pub(crate) struct SharedMemory {
     max_bytes: usize,
     held_bytes: AtomicUsize,
 }
 
-impl ReplyBuffers {
+impl SharedMemory {
     pub(crate) fn new(max_bytes: usize) -> Self {
         Self { max_bytes, held_bytes: AtomicUsize::new(0) }
     }
+
+    /// Holds bytes until what is returned is dropped; `None` if there is no room for them.
+    pub(crate) fn hold(&self, bytes: usize) -> Option<HeldBytes<'_>> {
+        let mut held = HeldBytes(self, 0);
+        held.add(bytes).then_some(held)
+    }
 }
 
-/// The memory that one reply holds until it is complete or dropped, in bytes.
-struct HeldBytes<'a>(&'a ReplyBuffers, usize);
+/// The memory that one body holds until it is complete or dropped, in bytes.
+pub(crate) struct HeldBytes<'a>(&'a SharedMemory, usize);
 
 impl HeldBytes<'_> {
-    /// Adds bytes and returns whether all replies together stay within their limit.
+    /// Adds bytes and returns whether all bodies together stay within their limit.
     fn add(&mut self, bytes: usize) -> bool {
         self.1 += bytes;
         self.0.held_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes <= self.0.max_bytes
@@ -317,7 +323,7 @@
 pub(crate) async fn read_reply(
     res: Response<Incoming>,
     max_bytes: usize,
-    buffers: &ReplyBuffers,
+    buffers: &SharedMemory,
 ) -> Result<Reply<SegmentedBody>, ReplyError> {
     let (parts, mut incoming) = res.into_parts();
     if incoming.size_hint().lower() > max_bytes as u64 {
--- a/src/transport/upstreams/run.rs
+++ b/src/transport/upstreams/run.rs
@@ -13,6 +13,7 @@
 use crate::protocol::codec::OutgoingRequest;
 use crate::state::arena::{PoolKey, RouteKey, ServerKey};
 use crate::state::topology::TopologyView;
+use crate::transport::admission::{RequestHold, Working};
 use crate::transport::upstreams::context::{AnswerTimes, TierContext, retry_budget_options};
 use crate::transport::upstreams::send::{Answer, Dispatches, ScatterRequest, SendOutcome, send};
 use crate::transport::upstreams::tier::{RouteStats, Tier};
@@ -37,6 +38,8 @@
     pub(crate) outgoing: OutgoingRequest,
     /// Shards, limits and deadlines.
     pub(crate) opts: ScatterOptions,
+    /// What is held for the request of a caller; it is held as long as the job.
+    pub(crate) hold: Option<Arc<RequestHold<Working>>>,
 }
 
 /// The answers gathered for a request.
@@ -79,7 +82,7 @@
     view: &TopologyView,
     job: Job,
 ) -> Result<Gathered, GivenUp> {
-    let Job { id, route, target_latency, outgoing, opts } = job;
+    let Job { id, route, target_latency, outgoing, opts, hold: _hold } = job;
     let is_sharded = opts.shards.len() > 1;
     if is_sharded {
         tier.with_warming(|w| w.record_gather(tier.now()));
--- a/src/transport/upstreams/tier.rs
+++ b/src/transport/upstreams/tier.rs
@@ -37,7 +37,7 @@
 use crate::state::topology::{Server, ServerReport, Topology, TopologyView};
 use crate::transport::admission::Admission;
 use crate::transport::clock::Clock;
-use crate::transport::http::ReplyBuffers;
+use crate::transport::http::SharedMemory;
 use crate::transport::metrics::Metrics;
 use crate::transport::upstreams::connection_pool::{Connection, ConnectionPool};
 
@@ -86,6 +86,8 @@
     }
 }
 
+/// Part of a machine's memory that the bodies of requests have which are gathered for peers.
+const GATHER_MEMORY_DIVISOR: usize = 16;
 /// Part of a machine's memory that replies of servers have while they are being received.
 const REPLY_MEMORY_DIVISOR: usize = 5;
 
@@ -212,7 +214,9 @@
     pub(crate) route_stats: ShardedMap<RouteKey, RouteStats>,
     pub(crate) retry_budgets: ShardedMap<PoolKey, RetryBudget>,
     pub(crate) metrics: Metrics,
-    pub(crate) reply_buffers: ReplyBuffers,
+    pub(crate) reply_buffers: SharedMemory,
+    /// Bodies of requests that are gathered for peers.
+    pub(crate) gathered_bodies: SharedMemory,
     /// What is held for callers.
     pub(crate) admission: Arc<Admission>,
     domains: Mutex<IndexMap<String, DomainHealth>>,
@@ -247,7 +251,8 @@
         let admission = Admission::new(budget, clock, metrics.callers_given_up.clone());
         Self {
             instances: AtomicUsize::new(opts.initial_instances),
-            reply_buffers: ReplyBuffers::new(opts.max_buffered_bytes),
+            reply_buffers: SharedMemory::new(opts.max_buffered_bytes),
+            gathered_bodies: SharedMemory::new(opts.machine.memory_bytes / GATHER_MEMORY_DIVISOR),
             admission: Arc::new(admission),
             opts,
             names: NameInterner::default(),
