--- a/src/coordination/attempt.rs
+++ b/src/coordination/attempt.rs
@@ -54,6 +54,12 @@
     Stopping,
 }
 
+/// Returns whether a status is one of a final answer: an informational one, or one that HTTP does not define, answers no request
+/// (RFC 9110, section 15).
+pub fn is_final_status(status: u16) -> bool {
+    (200..600).contains(&status)
+}
+
 /// Why the outcome of an attempt is unknown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use coordination::attempt::{
     Attempt, ConnectionUse, Dispatched, Fault, Label, NotRun, NotRunCode, Outcome, Pending,
-    RawAnswer, Replied, UpstreamRefusal,
+    RawAnswer, Replied, UpstreamRefusal, is_final_status,
 };
 pub use coordination::caller_budget::{
     CONNECTION_BYTES, CallerBudget, CallerBudgetOptions, Eviction, Grant, Machine, Opening,
--- a/src/transport/upstreams/send.rs
+++ b/src/transport/upstreams/send.rs
@@ -12,7 +12,7 @@
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
-use crate::coordination::attempt::{Attempt, Fault, NotRunCode, Outcome, Pending};
+use crate::coordination::attempt::{Attempt, Fault, NotRunCode, Outcome, Pending, is_final_status};
 use crate::coordination::outlier::Probe;
 use crate::coordination::rate_limit::Reservation;
 use crate::coordination::scatter::SendResult;
@@ -408,6 +408,9 @@
                 None => Unanswered::Failed(Fault::Lost),
             })?;
             let (parts, body) = res.into_parts();
+            if !is_final_status(parts.status.as_u16()) {
+                return Err(Unanswered::Failed(Fault::Upstream));
+            }
             let head = self.tier.codec.parse_response_head(&parts);
             let res = hyper::Response::from_parts(parts, body);
             let reply = http::read_reply(res, self.max_bytes(), &self.tier.reply_buffers).await;
@@ -427,8 +430,9 @@
                 reserved.is_dispatched = false;
                 Err(dispatched.into_pending())
             }
-            Ok(Err(Unanswered::Failed(Fault::TooLarge))) => {
-                Ok(self.record_failure(dispatched.fail(Fault::TooLarge)))
+            // the server answers, but what follows on the connection is not known
+            Ok(Err(Unanswered::Failed(fault @ (Fault::TooLarge | Fault::Upstream)))) => {
+                Ok(self.record_failure(dispatched.fail(fault)))
             }
             Ok(Err(Unanswered::Failed(fault))) => {
                 let now = self.tier.now();
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -6,7 +6,7 @@
 use support::permit;
 use tamarackdeck::{
     Attempt, ConnectionUse, Dispatched, Fault, Label, NotRunCode, Outcome, RawAnswer, Replied,
-    Snapshot, SnapshotRange, UpstreamRefusal, parse_label,
+    Snapshot, SnapshotRange, UpstreamRefusal, is_final_status, parse_label,
 };
 
 fn label() -> Label {
@@ -186,3 +186,30 @@
         assert_eq!(parse_label(text), None, "{text}");
     }
 }
+
+/// A status of a server's answer.
+struct StatusCase {
+    status: u16,
+    is_final: bool,
+}
+
+const STATUSES: &[StatusCase] = &[
+    StatusCase { status: 0, is_final: false },
+    StatusCase { status: 99, is_final: false },
+    StatusCase { status: 100, is_final: false },
+    StatusCase { status: 101, is_final: false },
+    StatusCase { status: 199, is_final: false },
+    StatusCase { status: 200, is_final: true },
+    StatusCase { status: 304, is_final: true },
+    StatusCase { status: 599, is_final: true },
+    StatusCase { status: 600, is_final: false },
+    StatusCase { status: 999, is_final: false },
+    StatusCase { status: 2_000, is_final: false },
+];
+
+#[test]
+fn only_a_final_status_answers() {
+    for case in STATUSES {
+        assert_eq!(is_final_status(case.status), case.is_final, "{}", case.status);
+    }
+}
