What is given up is decided and recorded under one lock (found on re-reading)

Callers would have seen: of two threads that give up the same connection each counted it as about to be closed, so that the instance went on waiting for one that had closed long ago, and turned newcomers away after a second each; and a request that became whole between the two looks was given up. A refused request whose body came whole at that moment left its connection open, on which every later body would have been refused.

Cause: the record was looked at under its lock, changed under a second one, and counted after that. The signal to refuse belongs to the connection, not to the request.

Change: one look and change under the lock of the record's shard, the counts with it; a record that changed since it was chosen is chosen anew. The connection of a request that was given up is closed with its refusal.

The connection's end is by reading: no test here brings a body's end and its refusal to the same moment.

Why it works: between the choice and its effect nothing else can change that record.

--- a/src/coordination/caller_budget.rs
+++ b/src/coordination/caller_budget.rs
@@ -336,19 +336,21 @@
     fn update(&self, key: CallerKey, change: impl FnOnce(&mut Holding<H>)) -> bool {
         let changed = self.holdings.with(key, |h| {
             // what was given up holds nothing more, even if its task has not noticed yet
-            (h.awaits != Awaited::Close).then(|| {
-                let before = h.bytes();
-                change(h);
-                (before, h.bytes())
-            })
+            (h.awaits != Awaited::Close).then(|| self.change(h, change))
         });
-        let Some(Some((before, after))) = changed else { return false };
+        changed.flatten().is_some()
+    }
+
+    /// Changes a record under its lock, and the bytes of all with it.
+    fn change(&self, holding: &mut Holding<H>, change: impl FnOnce(&mut Holding<H>)) {
+        let before = holding.bytes();
+        change(holding);
+        let after = holding.bytes();
         if after > before {
             self.bytes.fetch_add(after - before, Ordering::Relaxed);
         } else {
             self.bytes.fetch_sub(before - after, Ordering::Relaxed);
         }
-        true
     }
 
     /// Gives up what it takes to hold `bytes` more for a connection, until that connection itself would be next.
@@ -370,29 +372,35 @@
 
     /// Gives up what has waited for its caller with the most bytes for the longest, or for the longest if a connection is needed.
     fn evict_one(&self, need: Need, now: Tick) -> Option<(CallerKey, (H, Eviction))> {
-        let mut heaviest: Option<(u128, CallerKey)> = None;
-        self.holdings.for_each(|key, h| {
-            let weight = h.weight(need, now);
-            if weight > heaviest.map_or(0, |(most, _)| most) {
-                heaviest = Some((weight, key));
+        loop {
+            let mut heaviest: Option<(u128, CallerKey)> = None;
+            self.holdings.for_each(|key, h| {
+                let weight = h.weight(need, now);
+                if weight > heaviest.map_or(0, |(most, _)| most) {
+                    heaviest = Some((weight, key));
+                }
+            });
+            let (_, key) = heaviest?;
+            // it may have become whole or been closed since it was looked at
+            if let Some(evicted) = self.holdings.with(key, |h| self.evict(h, need)).flatten() {
+                return Some((key, evicted));
             }
-        });
-        let (_, key) = heaviest?;
-        let (handle, given_up) =
-            self.holdings.with(key, |h| (h.handle.clone(), h.evictable(need)))?;
-        let (eviction, _) = given_up?;
+        }
+    }
+
+    /// Gives up what a need can be met with, unless nothing of it waits for its caller any more.
+    fn evict(&self, holding: &mut Holding<H>, need: Need) -> Option<(H, Eviction)> {
+        let (eviction, _) = holding.evictable(need)?;
         match eviction {
-            Eviction::Body => {
-                self.update(key, |h| h.request = 0);
-            }
+            Eviction::Body => self.change(holding, |h| h.request = 0),
             Eviction::Connection => {
                 self.closing.fetch_add(1, Ordering::Relaxed);
-                self.update(key, |h| {
+                self.change(holding, |h| {
                     (h.connection, h.request, h.answers) = (0, 0, 0);
                     h.awaits = Awaited::Close;
                 });
             }
         }
-        Some((key, (handle, eviction)))
+        Some((holding.handle.clone(), eviction))
     }
 }
--- a/src/transport/admission.rs
+++ b/src/transport/admission.rs
@@ -146,6 +146,11 @@
         self.signals.closed.cancelled().await;
     }
 
+    /// Returns whether a request of the connection was given up.
+    pub(crate) fn is_refused(&self) -> bool {
+        self.signals.refused.is_cancelled()
+    }
+
     fn now(&self) -> Tick {
         self.admission.clock.now()
     }
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use hyper::Response;
 use hyper::body::{Body, Frame, SizeHint};
+use hyper::header::{CONNECTION, HeaderValue};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -93,7 +94,12 @@
 }
 
 /// Records an answer, which is held until its caller has read it.
-pub(crate) fn track_answer(res: FullResponse, hold: Arc<Hold>) -> Response<TrackedBody> {
+///
+/// The connection of a request that was given up is closed with its refusal.
+pub(crate) fn track_answer(mut res: FullResponse, hold: Arc<Hold>) -> Response<TrackedBody> {
+    if hold.is_refused() {
+        res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     hold.begin_answer(res.body().len());
     res.map(|body| TrackedBody { body, hold })
 }
--- a/tests/caller_budget.rs
+++ b/tests/caller_budget.rs
@@ -421,3 +421,35 @@
         assert_eq!((budget.bytes(), budget.connections()), (0, 0), "seed {seed}");
     }
 }
+
+/// Threads that open, fill and close connections at the same time; each closes what it has opened, whether or not it was given up.
+#[test]
+fn threads_that_use_the_budget_at_the_same_time_leave_nothing_behind() {
+    let opts = CallerBudgetOptions { max_bytes: 6 * CONNECTION_BYTES, max_connections: 4 };
+    let budget = CallerBudget::new(opts);
+    std::thread::scope(|scope| {
+        for seed in 0..4 {
+            let budget = &budget;
+            scope.spawn(move || {
+                let mut rng = ChaCha8Rng::seed_from_u64(seed);
+                for now in 1..20_000 {
+                    let Opening::Open(key, _) = budget.open(seed, ms(now)) else { continue };
+                    budget.begin_head(key, ms(now));
+                    budget.begin_body(key);
+                    drop(budget.hold(key, rng.random_range(0..2 * CONNECTION_BYTES), ms(now)));
+                    if budget.begin_work(key, SEGMENT, ms(now)).is_granted {
+                        drop(budget.begin_answer(key, SEGMENT, ms(now)));
+                        budget.finish_answer(key, ms(now));
+                    }
+                    budget.close(key);
+                }
+            });
+        }
+    });
+    assert_eq!((budget.bytes(), budget.connections()), (0, 0));
+    // nothing counts as about to be closed, so that a full budget makes room
+    for n in 0..4 {
+        assert!(matches!(budget.open(n, ms(20_000 + n)), Opening::Open(..)));
+    }
+    assert!(matches!(budget.open(9, ms(30_000)), Opening::Wait(evicted) if evicted.len() == 1));
+}
