What the crowd tests check, and how an ordinary caller tries again, is written once

Observer::check has the life, the memory and the descriptors of a process on a machine, is_served the tries of an ordinary caller. No crowd, bound or check changes.

--- a/standins/src/crowd.rs
+++ b/standins/src/crowd.rs
@@ -10,6 +10,10 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
+/// How long an ordinary caller tries again before it gives up.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// Delay before an ordinary caller tries again.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// How long a crowd waits for its members to have sent what they send.
 const SEND_TIMEOUT: Duration = Duration::from_secs(15);
 /// Delay before a connection that was reset while it was opened is tried again.
@@ -124,6 +128,18 @@
     }
 }
 
+/// Sends an ordinary request until it is answered, as callers do; returns whether it was.
+pub async fn is_served(is_answered: impl AsyncFn() -> bool) -> bool {
+    let deadline = Instant::now() + PATIENCE;
+    while Instant::now() < deadline {
+        if is_answered().await {
+            return true;
+        }
+        tokio::time::sleep(RETRY_DELAY).await;
+    }
+    false
+}
+
 /// Opens a connection and sends the script; `None` if the connection was closed before.
 async fn play(addr: SocketAddr, script: &Script) -> Option<TcpStream> {
     let mut stream = loop {
--- a/standins/src/usage.rs
+++ b/standins/src/usage.rs
@@ -21,6 +21,15 @@
     pub descriptors: usize,
 }
 
+/// The machine of a process, which what it holds is to stay within.
+#[derive(Clone, Copy, Debug)]
+pub struct Machine {
+    /// Memory, for what is resident and for what its sockets have received, in megabytes.
+    pub memory_mb: u32,
+    /// Descriptors.
+    pub max_fds: usize,
+}
+
 /// Observes a process until dropped.
 pub struct Observer {
     pid: u32,
@@ -53,14 +62,22 @@
         Self { pid, peaks, task }
     }
 
-    /// Returns the peaks so far; zero of a process that has ended.
-    pub fn peaks(&self) -> Peaks {
-        Peaks { resident_mb: peak_resident_mb(self.pid), ..*self.peaks.lock() }
+    /// Checks that the process lives, and has stayed within its machine; `when` says what has happened so far.
+    ///
+    /// # Panics
+    /// If it has ended, or held more.
+    pub fn check(&self, machine: Machine, when: &str) {
+        let peaks = Peaks { resident_mb: peak_resident_mb(self.pid), ..*self.peaks.lock() };
+        println!("{when}: {peaks:.1?}");
+        assert!(is_alive(self.pid), "{when}: the process has ended");
+        let held_mb = peaks.resident_mb + peaks.unread_mb;
+        assert!(held_mb <= f64::from(machine.memory_mb), "{when}: {peaks:?}");
+        assert!(peaks.descriptors <= machine.max_fds, "{when}: {peaks:?}");
     }
 }
 
 /// Returns whether a process runs; one that has ended and was not waited for does not.
-pub fn is_alive(pid: u32) -> bool {
+fn is_alive(pid: u32) -> bool {
     let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
     stat.rsplit(") ").next().is_some_and(|rest| !rest.is_empty() && !rest.starts_with('Z'))
 }
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -5,13 +5,13 @@
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::path::Path;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures::FutureExt;
-use standins::crowd::{BodyScript, Crowd, Script, unfinished_message};
+use standins::crowd::{BodyScript, Crowd, Script, is_served, unfinished_message};
 use standins::rig::{Process, Rig, RigOptions, ServiceSpec};
 use standins::upstream::UpstreamOptions;
-use standins::usage::{Observer, is_alive};
+use standins::usage::{Machine, Observer};
 use tamarackdeck::{Capacity, Policy, Preference};
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
@@ -21,8 +21,6 @@
 const MAX_TICKET_BYTES: usize = 1 << 20;
 /// How long a crowd stays once it has sent what it sends.
 const STAY: Duration = Duration::from_secs(3);
-/// How long an ordinary caller tries again before it gives up.
-const PATIENCE: Duration = Duration::from_secs(10);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Listener {
@@ -37,21 +35,20 @@
     listener: Listener,
     members: usize,
     script: fn(usize) -> Script,
-    /// Memory of the machine: what is resident, and what its sockets have received, are to stay below, in megabytes.
-    memory_mb: u32,
-    /// Descriptors of the machine.
-    max_fds: usize,
+    machine: Machine,
     /// Time that an upstream takes for a request, in microseconds.
     service_us: u64,
 }
 
+const LITTLE_MEMORY: Machine = Machine { memory_mb: 64, max_fds: 4_100 };
+const FEW_DESCRIPTORS: Machine = Machine { memory_mb: 64, max_fds: 300 };
+
 const CASE: Case = Case {
     name: "",
     listener: Listener::Callers,
     members: 400,
     script: |_| Script::default(),
-    memory_mb: 64,
-    max_fds: 4_100,
+    machine: LITTLE_MEMORY,
     service_us: 3_000,
 };
 
@@ -88,12 +85,17 @@
         service_us: 500_000,
         ..CASE
     },
-    Case { name: "heads without their end", script: |_| endless_head(), max_fds: 300, ..CASE },
-    Case { name: "connections that send nothing", max_fds: 300, ..CASE },
+    Case {
+        name: "heads without their end",
+        script: |_| endless_head(),
+        machine: FEW_DESCRIPTORS,
+        ..CASE
+    },
+    Case { name: "connections that send nothing", machine: FEW_DESCRIPTORS, ..CASE },
     Case {
         name: "connections to the operators' listener that send nothing",
         listener: Listener::Operators,
-        max_fds: 300,
+        machine: FEW_DESCRIPTORS,
         ..CASE
     },
     Case {
@@ -106,7 +108,7 @@
     Case {
         name: "connections to the listener for peers that send nothing",
         listener: Listener::Peers,
-        max_fds: 300,
+        machine: FEW_DESCRIPTORS,
         ..CASE
     },
     Case {
@@ -118,28 +120,11 @@
     },
 ];
 
-/// Sends an ordinary query until it is answered, as callers do.
-async fn is_served(instance: &Process) -> bool {
-    let deadline = Instant::now() + PATIENCE;
-    while Instant::now() < deadline {
-        let addr = instance.backend.callers_addr;
-        let reply = tamarackdeck::post(addr, "/v1/query/search", &[], "q", MS(3_000)).await;
-        if reply.is_ok_and(|r| r.status == 200) {
-            return true;
-        }
-        tokio::time::sleep(MS(100)).await;
-    }
-    false
-}
-
-fn check(case: &Case, observer: &Observer, instance: &Process, when: &str) {
-    let peaks = observer.peaks();
-    println!("{}: {when}: {peaks:.1?}", case.name);
-    let pid = instance.pid().unwrap();
-    assert!(is_alive(pid), "{}: {when}: the instance has ended", case.name);
-    let held_mb = peaks.resident_mb + peaks.unread_mb;
-    assert!(held_mb <= f64::from(case.memory_mb), "{}: {when}: {peaks:?}", case.name);
-    assert!(peaks.descriptors <= case.max_fds, "{}: {when}: {peaks:?}", case.name);
+/// Sends an ordinary query.
+async fn is_answered(instance: &Process) -> bool {
+    let addr = instance.backend.callers_addr;
+    let reply = tamarackdeck::post(addr, "/v1/query/search", &[], "q", MS(3_000)).await;
+    reply.is_ok_and(|r| r.status == 200)
 }
 
 async fn play(case: &'static Case) {
@@ -157,8 +142,8 @@
         services: vec![service],
         policy: Policy { soft_ms: 2_000, hard_ms: 3_000, ..Default::default() },
         env: vec![
-            ("TAMARACK_MEMORY_MB", case.memory_mb.to_string()),
-            ("TAMARACK_MAX_FDS", case.max_fds.to_string()),
+            ("TAMARACK_MEMORY_MB", case.machine.memory_mb.to_string()),
+            ("TAMARACK_MAX_FDS", case.machine.max_fds.to_string()),
         ],
         ..Default::default()
     };
@@ -175,14 +160,22 @@
     for round in ["first", "second"] {
         let scripts = (0..case.members).map(case.script);
         let crowd = Crowd::open(addr, scripts, STAY).await;
-        check(case, &observer, instance, round);
-        assert!(is_served(instance).await, "{}: not served beside the {round}", case.name);
+        observer.check(case.machine, &format!("{}: {round}", case.name));
+        assert!(
+            is_served(async || is_answered(instance).await).await,
+            "{}: not served beside the {round}",
+            case.name
+        );
         crowd.close().await;
     }
-    assert!(is_served(instance).await, "{}: not served afterwards", case.name);
+    assert!(
+        is_served(async || is_answered(instance).await).await,
+        "{}: not served afterwards",
+        case.name
+    );
     let ready = tamarackdeck::get(instance.backend.operators_addr, "/ready", MS(3_000)).await;
     assert_eq!(ready.unwrap().status, 200, "{}: not ready afterwards", case.name);
-    check(case, &observer, instance, "afterwards");
+    observer.check(case.machine, &format!("{}: afterwards", case.name));
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
