--- a/src/transport/settings.rs
+++ b/src/transport/settings.rs
@@ -110,6 +110,8 @@
             }
         }
         findings.require(self.max_requests > 0, "--flights", "must be greater than 0");
+        findings.require(self.memory_mb != Some(0), "--memory-mb", "must be greater than 0");
+        findings.require(self.max_fds != Some(0), "--max-fds", "must be greater than 0");
         findings.require(
             self.stop.max_duration >= self.stop.notice,
             "--stop-longest-ms",
