--- a/review/standin-3/src/instance.rs
+++ b/review/standin-3/src/instance.rs
@@ -43,6 +43,7 @@
         (name, zone, zones): (&str, &str, &[&str]),
         store: SocketAddr,
         folder: &Path,
+        record: &Record,
     ) -> std::io::Result<Self> {
         let ip = next_ip();
         let held = [(); 3].map(|()| TcpListener::bind((ip, 0)));
@@ -86,12 +87,12 @@
             folder: folder.to_owned(),
             starts: 0,
         };
-        instance.spawn()?;
+        instance.spawn(record)?;
         Ok(instance)
     }
 
     /// Starts the process, whose log goes to a file of the temporary folder.
-    pub fn spawn(&mut self) -> std::io::Result<()> {
+    pub fn spawn(&mut self, record: &Record) -> std::io::Result<()> {
         self.starts += 1;
         let log = self.folder.join(format!("{}-{}.log", self.name, self.starts));
         let log = std::fs::File::create(log)?;
@@ -101,6 +102,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        record.line(format!("{} started as process {}", self.name, child.id()));
         self.child = Some(child);
         Ok(())
     }
--- a/review/standin-3/src/record.rs
+++ b/review/standin-3/src/record.rs
@@ -29,15 +29,15 @@
         let now = self.now();
         let mut file = self.file.lock().unwrap();
         let _ = writeln!(file, "{:>10.1} {}", now.as_secs_f64() * 1e3, text.as_ref());
+        // the script that started the case reads from it which processes to end
+        let _ = file.flush();
         now
     }
 
     /// Writes a line to the record and to the standard output.
     pub fn say(&self, text: impl AsRef<str>) -> Duration {
         println!("{}", text.as_ref());
-        let now = self.line(text);
-        let _ = self.file.lock().unwrap().flush();
-        now
+        self.line(text)
     }
 }
 
