--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -154,6 +154,7 @@
         server.make_cold(2 * per_s as usize, COLD);
         let cold_ms = COLD.as_millis() as u64;
         let listed_at = self.store.put("servers", new, &server.entry("ready", cold_ms, 1));
+        old.leave();
         self.store.put("servers", &old.id, &old.entry("draining", 0, 2));
         Ok((server, listed_at))
     }
@@ -403,7 +404,8 @@
         record.line(format!("{} is ready again", instance.name));
         sleep_until(record, at + Duration::from_millis(1_300));
     }
-    std::thread::sleep(Duration::from_millis(300));
+    // the balancer asks once a second whether an instance is ready again
+    std::thread::sleep(Duration::from_millis(1_100));
     let (server, started_at) = rig.replace("a-1", "a-2", per_s)?;
     sleep_until(&rig.record, started_at + COLD);
     let sent = load.end();
--- a/review/standin-3/src/instance.rs
+++ b/review/standin-3/src/instance.rs
@@ -63,7 +63,7 @@
             "linkMbps":1000.0,"diskMb":0}},"dataDir":null,"discovery":"platform",
             "entryPoint":"vip","heartbeatMs":1200,
             "policies":["base","drain","config","cost","retry","recover","scatter","places","platform"],
-            "faultTolerance":{{"machines":2,"zones":1,"regions":0}},
+            "faultTolerance":{{"machines":2,"zones":{},"regions":0}},
             "parameters":{{"seedStalenessS":3,"addrReuseS":2,"contactMs":4000,"ackMs":5000,
             "catchUpS":4,"drainMs":3000,"graceS":6,"lossSlackMs":200,"configApplyMs":3000,
             "rollbackSlackMs":250,"maxSkewMs":12000,"retryBudgetRatio":0.2,"retryWindowS":10,
@@ -73,7 +73,8 @@
             ports[0],
             ports[1],
             ports[2],
-            ports[2] + 1
+            ports[2] + 1,
+            zones.len().min(2) - 1
         );
         let settings = folder.join(format!("{name}.json"));
         std::fs::write(&settings, text)?;
--- a/review/standin-3/src/server.rs
+++ b/review/standin-3/src/server.rs
@@ -25,6 +25,8 @@
     /// Requests in a second above which the server crashes while it is cold, and when it is.
     crash: Option<(usize, Range<Duration>)>,
     has_crashed: bool,
+    /// Whether the server leaves, which it says in all its answers.
+    is_leaving: bool,
     run: u32,
     /// `born` of the run, as Unix milliseconds.
     born: u128,
@@ -59,6 +61,7 @@
             work,
             crash: None,
             has_crashed: false,
+            is_leaving: false,
             run: 1,
             born: unix_ms(),
             arrivals: vec![],
@@ -143,6 +146,11 @@
         Ok(self.record.line(format!("server {} starts again", self.id)))
     }
 
+    /// Makes the server say in all its answers that it leaves.
+    pub fn leave(&self) {
+        self.state.lock().unwrap().is_leaving = true;
+    }
+
     /// Returns how long a request runs.
     pub fn work(&self) -> Duration {
         self.state.lock().unwrap().work
@@ -192,21 +200,24 @@
             state.work
         };
         std::thread::sleep(work);
-        let running = {
+        let (running, is_leaving) = {
             let mut state = self.state.lock().unwrap();
             state.running -= 1;
             if state.run != run {
                 return false;
             }
-            state.running
+            (state.running, state.is_leaving)
         };
         let stamp = format!("{}.{id}", self.id);
-        let headers = [
+        let mut headers = vec![
             ("X-Attempt-Id", id),
             ("X-Server-Stamp", stamp),
             ("X-Server-Load", format!("{running},0,{SLOTS}")),
             ("Keep-Alive", "timeout=30".to_owned()),
         ];
+        if is_leaving {
+            headers.push(("Server-Leaving", "1".to_owned()));
+        }
         conn.respond(200, &headers, self.id.as_bytes()).is_ok()
     }
 }
